--- /dev/null
+++ b/ravenshelf/__init__.py
@@ -0,0 +1,1 @@
+"""ravenshelf: tells forwarders where work goes."""
--- /dev/null
+++ b/ravenshelf/rules.py
@@ -0,0 +1,570 @@
+"""Every decision of ravenshelf: which proxy holds which lines, what it lets in and when it tries again.
+
+Called as `Controller(provisioning, seed)`, then `Controller.round(now, news, orders)` once for each batch: `news`
+is a list of (call name, values), decisions go into `orders`. Calls and writer are described in `interface.py`.
+Read on in this order: measures, the list, channel, curves, `solve_spill`, the controller. Times are microseconds.
+"""
+import random
+from collections import deque
+from math import exp, log
+
+SECOND = 1_000_000
+BEAT, STEP = 5 * SECOND // 2, SECOND // 4   # the solver's beat; the pace at which a zone is staged
+STAGE_PART = 0.1                            # of a zone's proxies at each step
+DEMAND_SPAN = 5 * SECOND
+RAMP = 30 * SECOND
+TARGET, QUANTUM = 0.05, 0.01
+BOUND_TIMES, BOUND_HEARD = 3, 10 * SECOND   # the bound of a miss: times the median of the first while
+GAP_MOVES = 1000                            # a gap shifts a curve once it has moved by more than this
+BUCKET = 0.07                               # width of a curve's bucket, in the logarithm of demand per weight
+CURVE_SPAN = 25 * SECOND                    # how long a curve remembers
+POOLED = 0.15                               # part that the other zones' points have in a zone's curve
+STEEP = 0.6                                 # rise of misses beyond what was seen, per doubling of the demand
+HEALTH_SPAN, HEALTH_PRIOR, FADED = 6 * SECOND, 3.0, 0.02
+PACE_SPAN, PACE_LEAST, PACE_MOST = 6 * SECOND, 0.3, 2.0
+WORTH_LINES = 0.08                          # a table is staged when so much of its weight goes elsewhere
+
+
+class Decaying:
+    """A few sums that fade with time, brought up to date when they are read."""
+    __slots__ = ("span", "at", "sums")
+
+    def __init__(self, span, size):
+        self.span, self.at, self.sums = span, 0, [0.0] * size
+
+    def read(self, now):
+        if now > self.at:
+            fade = exp((self.at - now) / self.span)
+            self.at, self.sums = now, [x * fade for x in self.sums]
+        return self.sums
+
+    def add(self, now, *values):
+        self.sums = [x + y for x, y in zip(self.read(now), values)]
+
+
+class Endpoint:
+    """What is listed of an endpoint and what was heard of it."""
+
+    def __init__(self, index):
+        self.index, self.zone, self.kind, self.state = index, 0, 0, "gone"
+        self.weight, self.start, self.known, self.benched = 1.0, 0, 0, False
+        self.forget()
+
+    def forget(self):
+        self.tries = Decaying(HEALTH_SPAN, 2)       # tries, dropped
+        self.latency = Decaying(PACE_SPAN, 2)       # delivered, delivered x latency
+
+    def fade(self, now):
+        """Share of tries that come to something; never 0, and it returns as the evidence fades."""
+        tries, dropped = self.tries.read(now)
+        good = (tries - dropped + HEALTH_PRIOR) / (tries + HEALTH_PRIOR)
+        return max(FADED, good * good)
+
+
+class Proxy:
+    def __init__(self, zone, usual, now, groups):
+        self.zone, self.usual, self.since, self.table = zone, usual, now, None
+        self.flows = [Decaying(DEMAND_SPAN, 2) for _ in range(groups)]   # flows, seconds counted
+
+    def demand(self, now):
+        """Flows a second of each group; None as long as nothing was heard."""
+        sums = [d.read(now) for d in self.flows]
+        if sum(s[1] for s in sums) < 0.1:
+            return None
+        longest = max(s[1] for s in sums)   # a group without flows goes unreported: its time passes all the same
+        return [s[0] / longest for s in sums]
+
+
+class Channel:
+    """Counts lines, heads and messages before they are ordered: a full queue breaks a rule."""
+
+    def __init__(self, service):
+        self.pace = self.usual = max(1.0, service.get("lines_per_s") or 1e9)
+        self.head, self.most = service.get("envelope", 6.0), service.get("most_waiting") or 1e9
+        self.messages, self.over = service.get("messages_most", 0), service.get("counted_over_us", 10 * SECOND)
+        self.late, self.late_most = service.get("late_us", 0), service.get("late_most_us", SECOND)
+        self.waiting, self.at, self.sent, self.round, self.marks, self.number = 0.0, 0, {}, {}, {}, 0
+
+    def drain(self, now):
+        self.waiting = max(0.0, self.waiting - self.pace * (now - self.at) / SECOND)
+        self.at = now
+
+    def room(self, lines, proxies, urgent):
+        """Whether so many lines to each of these proxies fit; the ordinary leaves half of the queue to the urgent."""
+        asked = sum(v + self.head + 1 for v in self.round.values()) + len(proxies) * (lines + self.head + 1)
+        if self.waiting + asked > self.most * (0.9 if urgent else 0.45):
+            return False
+        keep = 0 if urgent else max(1, round(self.messages * 0.4))
+        return not self.messages or all(p in self.round or self.count(p) < self.messages - keep for p in proxies)
+
+    def count(self, proxy):
+        sent = self.sent.setdefault(proxy, deque())
+        while sent and sent[0] <= self.at - self.over:
+            sent.popleft()
+        return len(sent)
+
+    def charge(self, proxies, lines):
+        for p in proxies:
+            self.round[p] = self.round.get(p, 0) + lines
+
+    def settle(self, now, orders):
+        if not self.round:
+            return
+        self.number = self.number % 65000 + 1
+        orders.mark(self.number)
+        for p, lines in self.round.items():
+            self.count(p)
+            self.sent[p].append(now)
+            self.waiting += lines + self.head + 1
+        self.marks[self.number] = (now, self.waiting)
+        while len(self.marks) > 200:
+            self.marks.pop(next(iter(self.marks)))
+        self.round = {}
+
+    def applied(self, mark, took):
+        """The true pace shows in how long a message took against what lay before it."""
+        at, before = self.marks.get(mark, (None, 0))
+        if at is None:
+            return
+        spare = took - self.late_most
+        if spare > 0 and before / spare * SECOND < self.pace:
+            self.pace = max(0.05 * self.usual, before / spare * SECOND)
+        elif took < self.late_most + before / self.usual * SECOND:
+            self.pace += (self.usual - self.pace) * 0.1
+
+
+class Curve:
+    """Share of missed tries against a zone's demand per listed weight."""
+
+    def __init__(self):
+        self.buckets = {}
+
+    def add(self, now, x, tries, missed):
+        if x > 0:
+            self.buckets.setdefault(round(log(x) / BUCKET), Decaying(CURVE_SPAN, 2)).add(now, tries, missed)
+
+    @staticmethod
+    def fit(now, own, others):
+        """Points (x, share) that rise with x, from a zone's own buckets and, for little, those of the others."""
+        sums = {}
+        for curve, part in [(own, 1.0)] + [(o, POOLED) for o in others]:
+            for k, decaying in curve.buckets.items():
+                tries, missed = decaying.read(now)
+                had = sums.setdefault(k, [0.0, 0.0])
+                had[0], had[1] = had[0] + part * tries, had[1] + part * missed
+        points = []     # pools adjacent violators: misses don't fall with demand, whatever a long tail says
+        for k in sorted(sums):
+            if sums[k][0] < 1.0:
+                continue
+            points.append([exp(k * BUCKET), sums[k][0], sums[k][1], 1])
+            while len(points) > 1 and points[-2][2] * points[-1][1] >= points[-1][2] * points[-2][1]:
+                x, tries, missed, n = points.pop()
+                had = points[-1]
+                had[0] = (had[0] * had[1] + x * tries) / (had[1] + tries)
+                had[1], had[2], had[3] = had[1] + tries, had[2] + missed, had[3] + n
+        return [(x, missed / tries) for x, tries, missed, _ in points]
+
+
+def read_curve(points, x):
+    """Misses expected at x; past the last point they go on rising, so that more load is never free."""
+    if x <= points[0][0]:
+        return points[0][1] * x / points[0][0]
+    for (x0, y0), (x1, y1) in zip(points, points[1:]):
+        if x <= x1:
+            return y0 + (y1 - y0) * (x - x0) / (x1 - x0)
+    x0, y0 = points[-1]
+    return y0 + STEEP * (x / x0 - 1)
+
+
+def solve_spill(demand, capacity, curves, stretch):
+    """KurmaCost by greedy quanta: the share of each zone's demand that every zone carries.
+
+    demand: flows a second; capacity: listed weight that is live; curves: points or None; stretch[i][j]: by how much
+    the gap from i to j makes j's load count more. Returns rows that sum to 1. Pure."""
+    zones = range(len(demand))
+    load, share = list(demand), [[float(i == j) for j in zones] for i in zones]
+    sends = [False] * len(demand)
+    takes = [False] * len(demand)
+
+    def missing(i, j, more=0.0):
+        return read_curve(curves[j], (load[j] + more) / capacity[j] * stretch[i][j]) if curves[j] else 0.0
+
+    def total(moves=()):
+        for j, more in moves:
+            load[j] += more
+        out = sum(demand[i] * share[i][j] * missing(i, j) for i in zones for j in zones
+                  if share[i][j] and capacity[j] > 0)
+        for j, more in moves:
+            load[j] -= more
+        return out
+
+    def move(i, j, part):
+        share[i][i], share[i][j] = share[i][i] - part, share[i][j] + part
+        load[i], load[j] = load[i] - part * demand[i], load[j] + part * demand[i]
+        sends[i] = takes[j] = True
+
+    dead = [i for i in zones if capacity[i] <= 0]
+    live = [j for j in zones if capacity[j] > 0]
+    if not live:
+        return share
+    for i in dead:      # a zone with no live server sends all: quantum by quantum to where it is lightest
+        load[i] -= demand[i]
+        for _ in range(round(1 / QUANTUM)):
+            j = min(live, key=lambda j: (load[j] + QUANTUM * demand[i]) / capacity[j] * stretch[i][j])
+            load[i] += QUANTUM * demand[i]
+            move(i, j, QUANTUM)
+        share[i][i], sends[i] = 0.0, True
+
+    def over(i):
+        return demand[i] > 0 and sum(share[i][j] * missing(i, j) for j in live if share[i][j]) > TARGET
+
+    while True:
+        short = [i for i in live if curves[i] and not takes[i] and share[i][i] >= QUANTUM and over(i)]
+        best = None
+        for i in short:
+            step = QUANTUM * demand[i]
+            for j in live:
+                if j != i and curves[j] and not sends[j]:
+                    after = max(missing(i, j, step), missing(j, j, step))
+                    if after <= TARGET and (best is None or after < best[0]):
+                        best = (after, i, j)
+        if best is None:
+            break
+        move(best[1], best[2], QUANTUM)
+    while any(over(i) for i in zones):      # infeasible: as few misses in all as can be
+        best, now_missed = None, total()
+        for i in live:
+            step = QUANTUM * demand[i]
+            if not curves[i] or takes[i] or share[i][i] < QUANTUM or not step:
+                continue
+            for j in live:
+                if j == i or not curves[j] or sends[j]:
+                    continue
+                share[i][i], share[i][j] = share[i][i] - QUANTUM, share[i][j] + QUANTUM
+                gain = now_missed - total([(i, -step), (j, step)])
+                share[i][i], share[i][j] = share[i][i] + QUANTUM, share[i][j] - QUANTUM
+                if gain > 1e-9 and (best is None or gain / step > best[0]):
+                    best = (gain / step, i, j)
+        if best is None:
+            break
+        move(best[1], best[2], QUANTUM)
+    return share
+
+
+def water_level(demands, budget):
+    """The level at which so many flows a second come in over all proxies, each let in up to that level."""
+    left, asked = budget, sorted(demands)
+    for n, d in enumerate(asked):
+        if d * (len(asked) - n) >= left:
+            return max(0.0, left / (len(asked) - n))
+        left -= d
+    return None
+
+
+def median(values, default=None):
+    values = sorted(values)
+    return values[len(values) // 2] if values else default
+
+
+class Controller:
+    def __init__(self, provisioning, seed):
+        self.service, self.rules = provisioning.get("service", {}), provisioning.get("rules", {})
+        self.groups = provisioning.get("traffic_groups", [])
+        self.zones = max(1, len(provisioning.get("zones", [])))
+        self.ask = provisioning.get("discovery") == "on_request"
+        self.chance = random.Random(seed)
+        self.channel = Channel(self.service)
+        self.endpoints, self.proxies, self.lines, self.levels = {}, {}, {}, {}
+        self.curves = [Curve() for _ in range(self.zones)]
+        self.current = [2 * z for z in range(self.zones)]       # the table that a zone's proxies are led to
+        self.share = [[float(i == j) for j in range(self.zones)] for i in range(self.zones)]
+        self.least = {}                                         # (from, to): deque of (time, latency)
+        self.gap = [[0] * self.zones for _ in range(self.zones)]
+        self.first, self.bound, self.medians = None, None, []
+        self.next_beat = self.next_step = 0
+        self.ask_again, self.changed, self.cold_seen = 0, False, False
+        self.met = Decaying(3 * SECOND, 4)                      # tries, delivered, missed, seconds
+        self.allowed = None                                     # flows a second let in, None: all
+        self.now = 0
+
+    # --- the news ---
+
+    def listed(self, how, entries):
+        seen = set()
+        for index, zone, kind, _, state, weight, start in entries:
+            e = self.endpoints.get(index)
+            if e is None:
+                e = self.endpoints[index] = Endpoint(index)
+                e.start, e.known = start, self.now
+            if start > e.start:         # the process is another one: what was heard of the old one says nothing
+                e.start, e.known = start, self.now
+                e.forget()
+                self.cold_seen = True
+            seen.add(index)
+            e.zone, e.kind, e.weight = min(zone, self.zones - 1), kind, max(weight, 1e-3)
+            if e.state != state:
+                e.state, self.changed = state, True
+        if how != "update":
+            for e in self.endpoints.values():
+                if e.index not in seen and e.state != "gone":
+                    e.state, self.changed = "gone", True
+        self.ask_again = 0
+
+    def list_failed(self):
+        self.ask_again = self.now + SECOND      # a subscription that broke is silent: ask until it stands again
+
+    def joined(self, proxy, zone, usual, fresh):
+        self.proxies[proxy] = Proxy(min(zone, self.zones - 1), usual, self.now, len(self.groups))
+        self.channel.sent.pop(proxy, None)
+
+    def left(self, proxy):
+        self.proxies.pop(proxy, None)
+
+    def heard(self, zone, index, tries, dropped, latency, window, report):
+        e, now = self.endpoints.get(index), self.now
+        if e is None or tries <= 0:
+            return
+        dropped = min(max(dropped, 0), tries)
+        delivered = tries - dropped
+        e.tries.add(now, tries, dropped)
+        if delivered and latency > 0:
+            e.latency.add(now, delivered, delivered * latency)
+            self.least.setdefault((zone, e.zone), deque()).append((now, latency))
+            if self.first is None:
+                self.first = now
+            if now - self.first <= BOUND_HEARD:
+                self.medians.append(latency)
+                self.bound = min([BOUND_TIMES * median(self.medians)]
+                                 + [g["latency_budget_us"] for g in self.groups if g.get("latency_budget_us")])
+        missed = dropped + (delivered if self.bound and latency > self.bound else 0)
+        self.met.add(now, tries, delivered, missed, 0)
+        if zone == e.zone and self.now >= self.next_beat - BEAT:
+            x = self.loads.get(zone) if hasattr(self, "loads") else None
+            if x:
+                self.curves[zone].add(now, x, tries, missed)
+
+    def asked(self, proxy, group, flows, unanswered, window):
+        p = self.proxies.get(proxy)
+        if p is not None and group < len(p.flows):
+            p.flows[group].add(self.now, max(flows, 0), window / SECOND)
+
+    def applied(self, proxy, mark, took):
+        self.channel.applied(mark, took)
+
+    def ignored(self, *_):
+        pass
+
+    woken = probed = told = granted = stored = slice_asked = ignored
+
+    # --- estimates ---
+
+    def ramp(self, e):
+        """A new endpoint comes in over the ramp; it starts at the share of its capacity that the list promises."""
+        if e.start <= 0:
+            return 1.0
+        cold = self.rules.get("cold_share", 0.2)
+        return min(1.0, cold + (1 - cold) * max(0, self.now - e.start) / RAMP)
+
+    def usable(self, e):
+        return e.state == "ready" or (e.state == "gone" and self.rules.get("removal_not_binding", False)
+                                      and not e.benched and e.known > 0)
+
+    def strengths(self):
+        """For each zone: endpoint -> weight by list, ramp, fading failures and measured pace."""
+        out = [{} for _ in range(self.zones)]
+        mean = {}
+        for e in self.endpoints.values():
+            n, total = e.latency.read(self.now)
+            if n > 2:
+                mean[e.index] = total / n
+        for e in self.endpoints.values():
+            if not self.usable(e):
+                continue
+            peers = [mean[o.index] for o in self.endpoints.values()
+                     if o.index in mean and o.zone == e.zone and o.kind == e.kind and self.usable(o)]
+            usual = median(peers)
+            pace = 1.0
+            if e.index in mean and usual:
+                pace = min(PACE_MOST, max(PACE_LEAST, usual / mean[e.index]))
+            out[e.zone][e.index] = e.weight * self.ramp(e) * e.fade(self.now) * pace
+        return out
+
+    def demands(self):
+        """Flows a second by zone: those of the own proxies, and an estimate for those that join other pilots."""
+        own, count, total = [0.0] * self.zones, [0] * self.zones, 0.0
+        for p in self.proxies.values():
+            asked = p.demand(self.now)
+            flows = p.usual if asked is None else sum(asked)
+            own[p.zone] += flows
+            count[p.zone] += 1
+            total += flows
+        unseen = max(0, self.service.get("proxy_count", 0) - len(self.proxies))
+        if not unseen or not self.proxies:
+            return own, own
+        expected = self.service["proxy_count"] / self.zones
+        lack = [max(0.0, expected - c) for c in count] if self.service.get("by_zone") else [1.0] * self.zones
+        scale = unseen * total / len(self.proxies) / max(sum(lack), 1e-9)
+        return own, [o + scale * k for o, k in zip(own, lack)]
+
+    def gaps(self):
+        """Cross-zone gap in one-second minimum latency; small moves don't touch the curves."""
+        least = {}
+        for pair, heard in self.least.items():
+            while heard and heard[0][0] < self.now - SECOND:
+                heard.popleft()
+            if heard:
+                least[pair] = min(v for _, v in heard)
+        for (i, j), v in least.items():
+            if i != j and (j, j) in least:
+                gap = max(0, v - least[j, j])
+                if abs(gap - self.gap[i][j]) > GAP_MOVES:
+                    self.gap[i][j] = gap
+
+    # --- tables ---
+
+    def users(self, table):
+        return [i for i, p in self.proxies.items() if p.table == table]
+
+    def wanted(self, zone, strengths, share):
+        """The lines of a zone's table: local endpoints carry the kept part, receivers the spilled."""
+        out = {}
+        for j in range(self.zones):
+            total = sum(strengths[j].values())
+            if share[zone][j] > 0 and total > 0:
+                for index, s in strengths[j].items():
+                    out[index] = max(0.01, round(1000 * share[zone][j] * s / total, 2))
+        return out
+
+    def write(self, table, lines, levels, orders, urgent):
+        """Turns a table into `lines` and `levels`, charging every proxy on it; an empty table is never written."""
+        had, users = self.lines.setdefault(table, {}), self.users(table)
+        if not lines:
+            return False
+        new = [(k, w) for k, w in lines.items()
+               if k not in had or (abs(had[k] - w) > (0.0 if not users else 0.15 * max(had[k], w)))]
+        old = [k for k in had if k not in lines]
+        cost = len(new) + len(old) + len(self.groups)
+        if users and not self.channel.room(cost, users, urgent):
+            return False
+        for k, w in new:        # first what comes, then what goes: the table has a line at every moment
+            orders.line(table, k, w)
+            had[k] = w
+        for k in old:
+            orders.line(table, k, 0)
+            del had[k]
+        changed = self.levels.get(table, {}) != levels
+        if changed:
+            for group, level in levels.items():
+                orders.level(table, 1 << group, level, 1)
+            self.levels[table] = dict(levels)
+        if new or old or changed:
+            self.channel.charge(users, len(new) + len(old) + (len(levels) if changed else 0))
+        return True
+
+    def bind(self, index, table, orders, urgent):
+        lines = self.lines.get(table)
+        cost = 1 + len(lines or ()) + len(self.levels.get(table, ())) + sum(e.benched for e in self.endpoints.values())
+        if not lines or not self.channel.room(cost, [index], urgent):
+            return False
+        orders.bind(index, table)
+        self.channel.charge([index], cost)
+        self.proxies[index].table = table
+        return True
+
+    # --- the list ---
+
+    def follow_list(self, orders):
+        """Draining or gone is benched at once for every proxy, bound or not; what returns is let in again."""
+        for e in self.endpoints.values():
+            out = not self.usable(e)
+            if out != e.benched and (out or e.state == "ready"):
+                if out and not any(self.usable(o) for o in self.endpoints.values()):
+                    continue
+                orders.bench(e.index, out)
+                e.benched = out
+                self.channel.charge(list(self.proxies), 1)
+
+    def plan(self, orders, urgent):
+        """One beat of the design: curves, spill, tables. Urgent: the tables in use are changed in place."""
+        strengths = self.strengths()
+        own, demand = self.demands()
+        capacity = [0.0] * self.zones
+        usual = median([e.fade(self.now) for e in self.endpoints.values() if self.usable(e)], 1.0)
+        for e in self.endpoints.values():
+            if self.usable(e):
+                capacity[e.zone] += e.weight * self.ramp(e) * min(1.0, e.fade(self.now) / usual)
+        admitted = sum(demand)
+        if self.allowed is not None and admitted > 0:
+            own_total = max(sum(own), 1e-9)
+            demand = [d * min(1.0, self.allowed / own_total) for d in demand]
+        fits = [Curve.fit(self.now, c, [o for o in self.curves if o is not c]) or None for c in self.curves]
+        self.gaps()
+        stretch = [[1.0 if not self.bound or i == j else
+                    1.0 / max(0.2, 1 - self.gap[i][j] / self.bound) for j in range(self.zones)]
+                   for i in range(self.zones)]
+        self.share = solve_spill(demand, capacity, fits, stretch)
+        self.loads = {}
+        for j in range(self.zones):
+            load = sum(demand[i] * self.share[i][j] for i in range(self.zones))
+            if capacity[j] > 0 and load > 0:
+                self.loads[j] = load / capacity[j]
+        levels = self.plan_levels(own)
+        for zone in range(self.zones):
+            lines = self.wanted(zone, strengths, self.share)
+            if not lines:
+                continue
+            table = self.current[zone]
+            if urgent or not self.lines.get(table):
+                self.write(table, lines, levels, orders, True)
+                self.write(table ^ 1, lines, levels, orders, True)
+                continue
+            if self.users(table ^ 1):
+                continue        # the last staging is not over: two splits would clash
+            had = self.lines[table]
+            moved = sum(abs(lines.get(k, 0) - had.get(k, 0)) for k in set(lines) | set(had)) / 2000
+            if moved >= WORTH_LINES or levels != self.levels.get(table, {}):
+                orders.clear(table ^ 1)
+                self.lines[table ^ 1], self.levels[table ^ 1] = {}, {}
+                self.write(table ^ 1, lines, levels, orders, False)
+                self.current[zone] = table ^ 1
+
+    def plan_levels(self, own):
+        return {}
+
+    def stage(self, orders):
+        """A tenth of each zone's proxies goes over to the zone's new table."""
+        for zone in range(self.zones):
+            here = [i for i, p in self.proxies.items() if p.zone == zone]
+            late = [i for i in here if self.proxies[i].table not in (None, self.current[zone])]
+            for i in late[:max(1, round(len(here) * STAGE_PART))]:
+                self.bind(i, self.current[zone], orders, False)
+
+    def round(self, now, news, orders):
+        first = self.now == 0 and self.next_beat == 0
+        self.now = now
+        self.channel.drain(now)
+        for name, values in news:
+            getattr(self, name)(*values)
+        if first:
+            self.next_beat, self.next_step = now + BEAT, now + STEP
+            orders.wake(self.next_step, "step")
+            if self.ask:
+                orders.observe(True)
+        if self.ask_again and now >= self.ask_again:
+            orders.observe(True)
+            self.ask_again = now + 5 * SECOND
+        if first or self.changed or self.cold_seen:
+            self.follow_list(orders)
+            self.plan(orders, True)
+            self.changed = self.cold_seen = False
+        for i, p in self.proxies.items():
+            if p.table is None:
+                self.bind(i, self.current[p.zone], orders, True)
+        if now >= self.next_beat:
+            self.next_beat = now + BEAT
+            self.plan(orders, False)
+        if now >= self.next_step:
+            self.next_step = now + STEP
+            self.stage(orders)
+            orders.wake(self.next_step, "step")
+        self.channel.settle(now, orders)
--- /dev/null
+++ b/ravenshelf/wirehost/host.py
@@ -0,0 +1,72 @@
+"""Hosts the instances: one controller each, nothing shared between them."""
+from ravenshelf.rules import Controller
+from ravenshelf.wirehost import decode
+from ravenshelf.wirehost.encode import Writer
+
+
+class Instance:
+    """One pilot on the wire: its controller, its endpoint names and the news of the present batch."""
+
+    def __init__(self, number):
+        self.number, self.names, self.index, self.controller, self.news = number, [], {}, None, []
+
+    def endpoint(self, name):
+        if name not in self.index:
+            if not name:
+                raise ValueError("an endpoint without a name")
+            self.index[name] = len(self.names)
+            self.names.append(name)
+        return self.index[name]
+
+
+class Host:
+    def __init__(self):
+        self.instances = {}
+
+    def _ids(self, i, text):
+        if i not in self.instances:
+            raise decode.Malformed(f"line {text[:120]!r}: expected an instance that was booted, not {i}")
+        return self.instances[i].endpoint
+
+    def batch(self, head, lines):
+        """Answers one batch; `lines` gives its lines up to eob. The reply is whole or there is none."""
+        v = head.split(" ")
+        try:
+            if len(v) != 3 or v[0] != "clock":
+                raise ValueError("no head")
+            now, frame = decode.micros(v[1]), int(v[2])
+        except ValueError as why:
+            raise decode.Malformed(f"line {head[:120]!r}: expected clock t-ms frame") from why
+        touched = {}
+        while (text := lines()) != "eob":
+            i, name, values = decode.event(text, self._ids, lines)
+            if name == "boot":
+                touched[i] = self.instances[i] = Instance(i)
+                touched[i].news = [("boot", values)]
+                continue
+            self._ids(i, text)
+            if name == "exit":
+                del self.instances[i]
+                touched.pop(i, None)
+                continue
+            touched[i] = self.instances[i]
+            touched[i].news.append((name, values))
+        out = []
+        for instance in touched.values():
+            out += self._round(now, instance)
+        out.append(f"next {frame}")
+        return out
+
+    @staticmethod
+    def _round(now, instance):
+        news, instance.news = instance.news, []
+        writer = Writer(instance.number, instance.names)
+        try:
+            if news[0][0] == "boot":
+                seed, provisioning = news.pop(0)[1]
+                instance.controller = Controller(provisioning, seed)
+            instance.controller.round(now, news, writer)
+        except Exception as why:  # the wire asks for the cause in its own words, never for silence
+            writer.out.clear()
+            writer.fault(f"{type(why).__name__}: {why}")
+        return writer.out
