Let in by utility from an estimate of capacity

Change: capacity is the endpoints' weight over the least mean latency met, corrected by the share of misses; what is over it is refused at once, the group of least utility first. Pace no longer splits by kind: listed weights turned out to say the size only.

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -23,6 +23,11 @@
 HEALTH_SPAN, HEALTH_PRIOR, FADED = 6 * SECOND, 3.0, 0.02
 PACE_SPAN, PACE_LEAST, PACE_MOST = 6 * SECOND, 0.3, 2.0
 WORTH_LINES = 0.08                          # a table is staged when so much of its weight goes elsewhere
+LEVEL_MOVES = 0.1                           # a level is written again once it has moved by this part
+SHED_MISSES, CALM_MISSES = 0.15, 0.05       # of the tries let in: the estimate of capacity goes down, or up again
+SHED_LEAST, SHED_MOST = 0.6, 1.3            # how far misses move that estimate
+KEPT_IN = 0.05                              # part of a group that is let in even then: it still has to be heard
+UNLIMITED = 1e6
 
 
 class Decaying:
@@ -283,8 +288,9 @@
         self.first, self.bound, self.medians = None, None, []
         self.next_beat = self.next_step = 0
         self.ask_again, self.changed, self.cold_seen = 0, False, False
-        self.met = Decaying(3 * SECOND, 4)                      # tries, delivered, missed, seconds
-        self.allowed = None                                     # flows a second let in, None: all
+        self.met = Decaying(2 * SECOND, 4)                      # tries, missed, delivered, delivered x latency
+        self.work, self.trust = None, 1.0                       # least mean latency met; what misses say of it
+        self.level, self.loads = {}, {}
         self.now = 0
 
     # --- the news ---
@@ -337,11 +343,9 @@
                 self.bound = min([BOUND_TIMES * median(self.medians)]
                                  + [g["latency_budget_us"] for g in self.groups if g.get("latency_budget_us")])
         missed = dropped + (delivered if self.bound and latency > self.bound else 0)
-        self.met.add(now, tries, delivered, missed, 0)
-        if zone == e.zone and self.now >= self.next_beat - BEAT:
-            x = self.loads.get(zone) if hasattr(self, "loads") else None
-            if x:
-                self.curves[zone].add(now, x, tries, missed)
+        self.met.add(now, tries, missed, delivered, delivered * latency)
+        if zone == e.zone and zone in self.loads:
+            self.curves[zone].add(now, self.loads[zone], tries, missed)
 
     def asked(self, proxy, group, flows, unanswered, window):
         p = self.proxies.get(proxy)
@@ -380,12 +384,12 @@
         for e in self.endpoints.values():
             if not self.usable(e):
                 continue
-            peers = [mean[o.index] for o in self.endpoints.values()
-                     if o.index in mean and o.zone == e.zone and o.kind == e.kind and self.usable(o)]
-            usual = median(peers)
+            usual = median([mean[o.index] for o in self.endpoints.values() if o.index in mean and o.zone == e.zone])
             pace = 1.0
-            if e.index in mean and usual:
-                pace = min(PACE_MOST, max(PACE_LEAST, usual / mean[e.index]))
+            if usual:
+                took = mean.get(e.index) or median(
+                    [mean[o.index] for o in self.endpoints.values() if o.index in mean and o.kind == e.kind], usual)
+                pace = min(PACE_MOST, max(PACE_LEAST, usual / took))
             out[e.zone][e.index] = e.weight * self.ramp(e) * e.fade(self.now) * pace
         return out
 
@@ -435,15 +439,15 @@
                     out[index] = max(0.01, round(1000 * share[zone][j] * s / total, 2))
         return out
 
-    def write(self, table, lines, levels, orders, urgent):
-        """Turns a table into `lines` and `levels`, charging every proxy on it; an empty table is never written."""
+    def write(self, table, lines, orders, urgent):
+        """Turns a table into `lines`, charging every proxy on it; an empty table is never written."""
         had, users = self.lines.setdefault(table, {}), self.users(table)
         if not lines:
             return False
         new = [(k, w) for k, w in lines.items()
                if k not in had or (abs(had[k] - w) > (0.0 if not users else 0.15 * max(had[k], w)))]
         old = [k for k in had if k not in lines]
-        cost = len(new) + len(old) + len(self.groups)
+        cost = len(new) + len(old)
         if users and not self.channel.room(cost, users, urgent):
             return False
         for k, w in new:        # first what comes, then what goes: the table has a line at every moment
@@ -452,13 +456,8 @@
         for k in old:
             orders.line(table, k, 0)
             del had[k]
-        changed = self.levels.get(table, {}) != levels
-        if changed:
-            for group, level in levels.items():
-                orders.level(table, 1 << group, level, 1)
-            self.levels[table] = dict(levels)
-        if new or old or changed:
-            self.channel.charge(users, len(new) + len(old) + (len(levels) if changed else 0))
+        if cost:
+            self.channel.charge(users, cost)
         return True
 
     def bind(self, index, table, orders, urgent):
@@ -493,10 +492,8 @@
         for e in self.endpoints.values():
             if self.usable(e):
                 capacity[e.zone] += e.weight * self.ramp(e) * min(1.0, e.fade(self.now) / usual)
-        admitted = sum(demand)
-        if self.allowed is not None and admitted > 0:
-            own_total = max(sum(own), 1e-9)
-            demand = [d * min(1.0, self.allowed / own_total) for d in demand]
+        part = self.let_in(sum(sum(s.values()) for s in strengths), sum(demand))
+        demand = [d * part for d in demand]
         fits = [Curve.fit(self.now, c, [o for o in self.curves if o is not c]) or None for c in self.curves]
         self.gaps()
         stretch = [[1.0 if not self.bound or i == j else
@@ -508,28 +505,73 @@
             load = sum(demand[i] * self.share[i][j] for i in range(self.zones))
             if capacity[j] > 0 and load > 0:
                 self.loads[j] = load / capacity[j]
-        levels = self.plan_levels(own)
+        levels = self.plan_levels(part * sum(own))
+        for table in list(self.lines):
+            self.write_levels(table, levels, orders)
         for zone in range(self.zones):
             lines = self.wanted(zone, strengths, self.share)
             if not lines:
                 continue
             table = self.current[zone]
             if urgent or not self.lines.get(table):
-                self.write(table, lines, levels, orders, True)
-                self.write(table ^ 1, lines, levels, orders, True)
+                self.write(table, lines, orders, True)
+                self.write(table ^ 1, lines, orders, True)
                 continue
             if self.users(table ^ 1):
                 continue        # the last staging is not over: two splits would clash
             had = self.lines[table]
             moved = sum(abs(lines.get(k, 0) - had.get(k, 0)) for k in set(lines) | set(had)) / 2000
-            if moved >= WORTH_LINES or levels != self.levels.get(table, {}):
+            if moved >= WORTH_LINES:
                 orders.clear(table ^ 1)
                 self.lines[table ^ 1], self.levels[table ^ 1] = {}, {}
-                self.write(table ^ 1, lines, levels, orders, False)
+                self.write_levels(table ^ 1, levels, orders)
+                self.write(table ^ 1, lines, orders, False)
                 self.current[zone] = table ^ 1
 
-    def plan_levels(self, own):
-        return {}
+    def let_in(self, strength, demand):
+        """Part of the demand that the endpoints can do: their weight over the time a flow takes, corrected by misses.
+
+        Guards against a jam that feeds itself: late work, further tries and clients that ask again."""
+        tries, missed, delivered, took = self.met.read(self.now)
+        if delivered > 20:
+            mean = took / delivered / SECOND
+            self.work = min(self.work or mean, mean, min([g["latency_budget_us"] for g in self.groups]) / 3 / SECOND)
+        if not self.work or not demand or not strength:
+            return 1.0
+        needed = demand * self.work / strength
+        if tries > 20 and needed > 0.5 * SHED_LEAST:
+            if missed > SHED_MISSES * tries:
+                self.trust = max(SHED_LEAST, min(self.trust, needed) * 0.93)
+            elif missed < CALM_MISSES * tries:
+                self.trust = min(SHED_MOST, self.trust * 1.03)
+        return min(1.0, self.trust / needed)
+
+    def plan_levels(self, allowed):
+        """Levels by utility: the group worth least is let in last."""
+        if self.service.get("level_kind") != "per_second":
+            return {}
+        levels, left = {}, allowed
+        asked = [[(p.demand(self.now) or [0.0] * len(self.groups))[g] for p in self.proxies.values()]
+                 for g in range(len(self.groups))]
+        if not self.proxies or allowed >= 0.99 * sum(map(sum, asked)):
+            return {}
+        for g in sorted(range(len(self.groups)), key=lambda g: -self.groups[g].get("utility", 1.0)):
+            level = water_level(asked[g], max(left, KEPT_IN * sum(asked[g])))
+            left -= sum(asked[g])
+            if level is not None:
+                levels[g] = round(max(level, 0.05), 2)
+        return levels
+
+    def write_levels(self, table, levels, orders):
+        had, users = self.levels.setdefault(table, {}), self.users(table)
+        for g in range(len(self.groups)):
+            old, new = had.get(g, UNLIMITED), levels.get(g, UNLIMITED)
+            if abs(old - new) > LEVEL_MOVES * min(old, new):
+                if users and not self.channel.room(1, users, True):
+                    return
+                orders.level(table, 1 << g, new, 1)
+                self.channel.charge(users, 1)
+                had[g] = new
 
     def stage(self, orders):
         """A tenth of each zone's proxies goes over to the zone's new table."""
