--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -57,6 +57,7 @@
 
     def forget(self):
         self.tries = Decaying(HEALTH_SPAN, 2)       # tries, dropped
+        self.misses = Decaying(2 * SECOND, 2)       # tries, missed
         self.latency = Decaying(PACE_SPAN, 2)       # delivered, delivered x latency
 
     def fade(self, now):
@@ -288,7 +289,7 @@
         self.first, self.bound, self.medians = None, None, []
         self.next_beat = self.next_step = 0
         self.ask_again, self.changed, self.cold_seen = 0, False, False
-        self.met = Decaying(2 * SECOND, 4)                      # tries, missed, delivered, delivered x latency
+        self.met = Decaying(2 * SECOND, 2)                      # delivered, delivered x latency
         self.work, self.trust = None, 1.0                       # least mean latency met; what misses say of it
         self.level, self.loads = {}, {}
         self.now = 0
@@ -343,7 +344,8 @@
                 self.bound = min([BOUND_TIMES * median(self.medians)]
                                  + [g["latency_budget_us"] for g in self.groups if g.get("latency_budget_us")])
         missed = dropped + (delivered if self.bound and latency > self.bound else 0)
-        self.met.add(now, tries, missed, delivered, delivered * latency)
+        e.misses.add(now, tries, missed)
+        self.met.add(now, delivered, delivered * latency)
         if zone == e.zone and zone in self.loads:
             self.curves[zone].add(now, self.loads[zone], tries, missed)
 
@@ -532,18 +534,19 @@
         """Part of the demand that the endpoints can do: their weight over the time a flow takes, corrected by misses.
 
         Guards against a jam that feeds itself: late work, further tries and clients that ask again."""
-        tries, missed, delivered, took = self.met.read(self.now)
+        delivered, took = self.met.read(self.now)
         if delivered > 20:
             mean = took / delivered / SECOND
             self.work = min(self.work or mean, mean, min([g["latency_budget_us"] for g in self.groups]) / 3 / SECOND)
         if not self.work or not demand or not strength:
             return 1.0
         needed = demand * self.work / strength
-        if tries > 20 and needed > 0.5 * SHED_LEAST:
-            if missed > SHED_MISSES * tries:
-                self.trust = max(SHED_LEAST, min(self.trust, needed) * 0.93)
-            elif missed < CALM_MISSES * tries:
-                self.trust = min(SHED_MOST, self.trust * 1.03)
+        sums = [e.misses.read(self.now) for e in self.endpoints.values() if self.usable(e)]
+        missed = median([m / t for t, m in sums if t > 1])      # of the endpoint in the middle: one that hangs
+        if missed is not None and missed > SHED_MISSES:         # is no reason to refuse flows
+            self.trust = max(SHED_LEAST, min(self.trust, needed) * 0.93)
+        elif missed is not None and missed < CALM_MISSES:
+            self.trust = min(SHED_MOST, self.trust * 1.03)
         return min(1.0, self.trust / needed)
 
     def plan_levels(self, allowed):
