Quicker shedding; keep the last messages for withdrawals

Change: ordinary and urgent orders leave three messages of the limit to withdrawals; thresholds 0.10 / 0.03, step 0.9.

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -24,7 +24,7 @@
 PACE_SPAN, PACE_LEAST, PACE_MOST = 6 * SECOND, 0.3, 2.0
 WORTH_LINES = 0.08                          # a table is staged when so much of its weight goes elsewhere
 LEVEL_MOVES = 0.1                           # a level is written again once it has moved by this part
-SHED_MISSES, CALM_MISSES = 0.15, 0.05       # of the tries let in: the estimate of capacity goes down, or up again
+SHED_MISSES, CALM_MISSES = 0.10, 0.03       # of the tries let in: the estimate of capacity goes down, or up again
 SHED_LEAST, SHED_MOST = 0.6, 1.3            # how far misses move that estimate
 KEPT_IN = 0.05                              # part of a group that is let in even then: it still has to be heard
 UNLIMITED = 1e6
@@ -100,7 +100,7 @@
         asked = sum(v + self.head + 1 for v in self.round.values()) + len(proxies) * (lines + self.head + 1)
         if self.waiting + asked > self.most * (0.9 if urgent else 0.45):
             return False
-        keep = 0 if urgent else max(1, round(self.messages * 0.4))
+        keep = 3 if urgent else max(3, round(self.messages * 0.4))     # the last ones are for withdrawals
         return not self.messages or all(p in self.round or self.count(p) < self.messages - keep for p in proxies)
 
     def count(self, proxy):
@@ -481,6 +481,8 @@
             if out != e.benched and (out or e.state == "ready"):
                 if out and not any(self.usable(o) for o in self.endpoints.values()):
                     continue
+                if not out and not self.channel.room(1, list(self.proxies), True):
+                    continue
                 orders.bench(e.index, out)
                 e.benched = out
                 self.channel.charge(list(self.proxies), 1)
@@ -544,7 +546,7 @@
         sums = [e.misses.read(self.now) for e in self.endpoints.values() if self.usable(e)]
         missed = median([m / t for t, m in sums if t > 1])      # of the endpoint in the middle: one that hangs
         if missed is not None and missed > SHED_MISSES:         # is no reason to refuse flows
-            self.trust = max(SHED_LEAST, min(self.trust, needed) * 0.93)
+            self.trust = max(SHED_LEAST, min(self.trust, needed) * 0.9)
         elif missed is not None and missed < CALM_MISSES:
             self.trust = min(SHED_MOST, self.trust * 1.03)
         return min(1.0, self.trust / needed)
