Estimate the unheard zones from the median proxy and from what own flows meet there

Change: where pilots are zoned the unheard proxies count as the median one, and a zone's estimate rises or falls with the misses of the flows spilled there.

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -291,7 +291,7 @@
         self.ask_again, self.changed, self.cold_seen = 0, False, False
         self.met = Decaying(2 * SECOND, 2)                      # delivered, delivered x latency
         self.work, self.trust = None, 1.0                       # least mean latency met; what misses say of it
-        self.level, self.loads = {}, {}
+        self.loads, self.unseen = {}, [1.0] * self.zones       # load per weight; others' part against the estimate
         self.now = 0
 
     # --- the news ---
@@ -397,20 +397,28 @@
 
     def demands(self):
         """Flows a second by zone: those of the own proxies, and an estimate for those that join other pilots."""
-        own, count, total = [0.0] * self.zones, [0] * self.zones, 0.0
+        own, count, each = [0.0] * self.zones, [0] * self.zones, []
         for p in self.proxies.values():
             asked = p.demand(self.now)
-            flows = p.usual if asked is None else sum(asked)
-            own[p.zone] += flows
+            each.append(p.usual if asked is None else sum(asked))
+            own[p.zone] += each[-1]
             count[p.zone] += 1
-            total += flows
         unseen = max(0, self.service.get("proxy_count", 0) - len(self.proxies))
         if not unseen or not self.proxies:
             return own, own
         expected = self.service["proxy_count"] / self.zones
         lack = [max(0.0, expected - c) for c in count] if self.service.get("by_zone") else [1.0] * self.zones
-        scale = unseen * total / len(self.proxies) / max(sum(lack), 1e-9)
-        return own, [o + scale * k for o, k in zip(own, lack)]
+        zoned = self.service.get("by_zone")     # then whole zones are unheard; a few proxies carry far more than most
+        scale = unseen * (median(each) if zoned else sum(each) / len(each)) / max(sum(lack), 1e-9)
+        return own, [o + scale * k * u for o, k, u in zip(own, lack, self.unseen)]
+
+    def learn_unseen(self):
+        """What others send to a zone shows in what this pilot's own flows meet there, against what was expected."""
+        for z in range(self.zones):
+            sums = [e.misses.read(self.now) for e in self.endpoints.values() if e.zone == z and self.usable(e)]
+            tries, missed = sum(t for t, _ in sums), sum(m for _, m in sums)
+            if tries > 3 and not any(p.zone == z for p in self.proxies.values()):
+                self.unseen[z] = min(4.0, max(0.25, self.unseen[z] * (1.25 if missed > 2 * TARGET * tries else 0.93)))
 
     def gaps(self):
         """Cross-zone gap in one-second minimum latency; small moves don't touch the curves."""
@@ -490,6 +498,7 @@
     def plan(self, orders, urgent):
         """One beat of the design: curves, spill, tables. Urgent: the tables in use are changed in place."""
         strengths = self.strengths()
+        self.learn_unseen()
         own, demand = self.demands()
         capacity = [0.0] * self.zones
         usual = median([e.fade(self.now) for e in self.endpoints.values() if self.usable(e)], 1.0)
