--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -20,6 +20,7 @@
 CURVE_SPAN = 25 * SECOND                    # how long a curve remembers
 POOLED = 0.15                               # part that the other zones' points have in a zone's curve
 STEEP = 0.6                                 # rise of misses beyond what was seen, per doubling of the demand
+MARGIN = 1.2                                # demand may rise by so much before the next tables are in force
 HEALTH_SPAN, HEALTH_PRIOR, FADED = 6 * SECOND, 3.0, 0.02
 PACE_SPAN, PACE_LEAST, PACE_MOST = 6 * SECOND, 0.3, 2.0
 WORTH_LINES = 0.08                          # a table is staged when so much of its weight goes elsewhere
@@ -168,7 +169,13 @@
                 had = points[-1]
                 had[0] = (had[0] * had[1] + x * tries) / (had[1] + tries)
                 had[1], had[2], had[3] = had[1] + tries, had[2] + missed, had[3] + n
-        return [(x, missed / tries) for x, tries, missed, _ in points]
+        hull = [(0.0, 0.0)]     # convex: a jammed zone's curve goes flat, and would say that it may as well be given up
+        for x, tries, missed, _ in points:
+            while len(hull) > 1 and ((hull[-1][1] - hull[-2][1]) * (x - hull[-1][0])
+                                     > (missed / tries - hull[-1][1]) * (hull[-1][0] - hull[-2][0])):
+                hull.pop()
+            hull.append((x, missed / tries))
+        return hull[1:]
 
 
 def read_curve(points, x):
@@ -193,7 +200,7 @@
     takes = [False] * len(demand)
 
     def missing(i, j, more=0.0):
-        return read_curve(curves[j], (load[j] + more) / capacity[j] * stretch[i][j]) if curves[j] else 0.0
+        return read_curve(curves[j], MARGIN * (load[j] + more) / capacity[j] * stretch[i][j]) if curves[j] else 0.0
 
     def total(moves=()):
         for j, more in moves:
