--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -25,8 +25,8 @@
 PACE_SPAN, PACE_LEAST, PACE_MOST = 6 * SECOND, 0.3, 2.0
 WORTH_LINES = 0.08                          # a table is staged when so much of its weight goes elsewhere
 LEVEL_MOVES = 0.1                           # a level is written again once it has moved by this part
-SHED_MISSES, CALM_MISSES = 0.10, 0.03       # of the tries let in: the estimate of capacity goes down, or up again
-SHED_LEAST, SHED_MOST = 0.6, 1.3            # how far misses move that estimate
+SHED_MISSES, CALM_MISSES = 0.15, 0.06       # of the tries let in: the estimate of capacity goes down, or up again
+SHED_LEAST, SHED_MOST = 0.9, 1.3            # how far down from what was carried in calm, and how far up it goes
 KEPT_IN = 0.05                              # part of a group that is let in even then: it still has to be heard
 UNLIMITED = 1e6
 
@@ -298,6 +298,8 @@
         self.ask_again, self.changed, self.cold_seen = 0, False, False
         self.met = Decaying(2 * SECOND, 2)                      # delivered, delivered x latency
         self.work, self.trust = None, 1.0                       # least mean latency met; what misses say of it
+        self.carried = 0.0                                      # the most that was carried in calm
+        self.budget = min([g["latency_budget_us"] for g in self.groups if g.get("latency_budget_us")], default=0)
         self.loads, self.unseen = {}, [1.0] * self.zones       # load per weight; others' part against the estimate
         self.now = 0
 
@@ -348,13 +350,14 @@
                 self.first = now
             if now - self.first <= BOUND_HEARD:
                 self.medians.append(latency)
-                self.bound = min([BOUND_TIMES * median(self.medians)]
-                                 + [g["latency_budget_us"] for g in self.groups if g.get("latency_budget_us")])
-        missed = dropped + (delivered if self.bound and latency > self.bound else 0)
-        e.misses.add(now, tries, missed)
+                self.bound = min(BOUND_TIMES * median(self.medians), self.budget or 10 * SECOND)
+        if self.budget:
+            e.misses.add(now, tries, dropped + delivered * min(1.0, latency / self.budget) ** 3)
         self.met.add(now, delivered, delivered * latency)
         if zone == e.zone and zone in self.loads:
-            self.curves[zone].add(now, self.loads[zone], tries, missed)
+            # a report gives a mean: near the bound part of its tries miss, and a curve of steps would show it too late
+            soft = dropped + (delivered * min(1.0, latency / self.bound) ** 4 if self.bound else 0)
+            self.curves[zone].add(now, self.loads[zone], tries, soft)
 
     def asked(self, proxy, group, flows, unanswered, window):
         p = self.proxies.get(proxy)
@@ -555,15 +558,16 @@
         delivered, took = self.met.read(self.now)
         if delivered > 20:
             mean = took / delivered / SECOND
-            self.work = min(self.work or mean, mean, min([g["latency_budget_us"] for g in self.groups]) / 3 / SECOND)
+            self.work = min(self.work or mean, mean, (self.budget or 10 * SECOND) / 3 / SECOND)
         if not self.work or not demand or not strength:
             return 1.0
         needed = demand * self.work / strength
         sums = [e.misses.read(self.now) for e in self.endpoints.values() if self.usable(e)]
         missed = median([m / t for t, m in sums if t > 1])      # of the endpoint in the middle: one that hangs
         if missed is not None and missed > SHED_MISSES:         # is no reason to refuse flows
-            self.trust = max(SHED_LEAST, min(self.trust, needed) * 0.9)
+            self.trust = max(SHED_LEAST * self.carried, min(self.trust, needed) * 0.9)
         elif missed is not None and missed < CALM_MISSES:
+            self.carried = max(self.carried * 0.995, min(needed, self.trust))
             self.trust = min(SHED_MOST, self.trust * 1.03)
         return min(1.0, self.trust / needed)
 
