--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -301,7 +301,7 @@
         self.carried = 0.0                                      # the most that was carried in calm
         self.budget = min([g["latency_budget_us"] for g in self.groups if g.get("latency_budget_us")], default=0)
         self.loads, self.unseen = {}, [1.0] * self.zones       # load per weight; others' part against the estimate
-        self.now = 0
+        self.now, self.begun = 0, False
 
     # --- the news ---
 
@@ -511,10 +511,11 @@
         self.learn_unseen()
         own, demand = self.demands()
         capacity = [0.0] * self.zones
-        usual = median([e.fade(self.now) for e in self.endpoints.values() if self.usable(e)], 1.0)
+        usual = [median([e.fade(self.now) for e in self.endpoints.values() if self.usable(e) and e.zone == z], 1.0)
+                 for z in range(self.zones)]
         for e in self.endpoints.values():
             if self.usable(e):
-                capacity[e.zone] += e.weight * self.ramp(e) * min(1.0, e.fade(self.now) / usual)
+                capacity[e.zone] += e.weight * self.ramp(e) * min(1.0, e.fade(self.now) / usual[e.zone])
         part = self.let_in(sum(sum(s.values()) for s in strengths), sum(demand))
         demand = [d * part for d in demand]
         fits = [Curve.fit(self.now, c, [o for o in self.curves if o is not c]) or None for c in self.curves]
@@ -627,6 +628,10 @@
         for i, p in self.proxies.items():
             if p.table is None:
                 self.bind(i, self.current[p.zone], orders, True)
+        if self.proxies and not self.loads:     # what is heard before the first beat belongs to the load known by then
+            self.plan(orders, True)
+        if self.first and not self.begun and now - self.first > SECOND // 4:
+            self.begun, self.next_beat = True, now
         if now >= self.next_beat:
             self.next_beat = now + BEAT
             self.plan(orders, False)
