--- a/ravenshelf/interface.py
+++ b/ravenshelf/interface.py
@@ -7,17 +7,18 @@
 
 | call name | values |
 | --- | --- |
-| listed | how ("update", "replace" or "restored"), entries of (endpoint, zone, kind, cell, state, weight, start) |
+| listed | "update", "replace" or "restored", entries of (endpoint, zone, kind, cell, state, weight, start) |
 | list_failed | none: a call to discovery failed, the old list still holds |
 | joined | proxy, zone, usual flows a second, whether it holds only its standing tables |
 | left | proxy |
-| heard | zone of the proxies, endpoint, tries, dropped, mean latency, window, load report (a tuple, may be empty) |
+| heard | zone of the proxies, endpoint, tries, dropped, mean latency, window, load report (maybe empty) |
 | asked | proxy, traffic group, flows, flows let in without an answer, window |
 | applied | proxy, mark, time from the order to its effect |
 | probed | endpoint, whether it answered, time it took, load report |
 | told | peer, bytes |
 | woken | the key given to `wake` |
-| granted, stored, slice_asked | slices: (slice, on), (slice, endpoint, weight), (slice, group, flows, unanswered, window) |
+| granted, stored | slices: (slice, on), (slice, endpoint, weight) |
+| slice_asked | slice, traffic group, flows, unanswered, window |
 """
 from typing import Protocol
 
--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -1,8 +1,8 @@
 """Every decision of ravenshelf: which proxy holds which lines, what it lets in and when it tries again.
 
-Called as `Controller(provisioning, seed)`, then `Controller.round(now, news, orders)` once for each batch: `news`
-is a list of (call name, values), decisions go into `orders`. Calls and writer are described in `interface.py`.
-Read on in this order: measures, the list, channel, curves, `solve_spill`, the controller. Times are microseconds.
+Called as `Controller(provisioning, seed)`, then `Controller.round(now, news, orders)` once for each batch: `news` is
+a list of (call name, values), decisions go into `orders`. `interface.py` describes the calls and the writer.
+In this order: measures, the list, channel, curves, `solve_spill`, the controller. Times are microseconds.
 """
 import random
 from collections import deque
@@ -25,10 +25,11 @@
 PACE_SPAN, PACE_LEAST, PACE_MOST = 12 * SECOND, 0.3, 2.0
 WORTH_LINES = 0.08                          # a table is staged when so much of its weight goes elsewhere
 LEVEL_MOVES = 0.1                           # a level is written again once it has moved by this part
-SHED_MISSES, CALM_MISSES = 0.15, 0.06       # of the tries let in: the estimate of capacity goes down, or up again
-SHED_LEAST, SHED_MOST = 0.9, 1.3            # how far down from what was carried in calm, and how far up it goes
+SHED_MISSES, CALM_MISSES = 0.15, 0.06       # of the tries: the estimate of capacity goes down, or up again
+SHED_LEAST, SHED_MOST = 0.9, 1.3            # how far down, from what was carried in calm, and how far up
 KEPT_IN = 0.05                              # part of a group that is let in even then: it still has to be heard
 UNLIMITED = 1e6
+COLD_LOAD, COLD_PART = 1.2, 0.7             # most load of a cold zone against the mean; so cold is cold
 
 
 class Decaying:
@@ -51,9 +52,9 @@
 class Endpoint:
     """What is listed of an endpoint and what was heard of it."""
 
-    def __init__(self, index):
-        self.index, self.zone, self.kind, self.state = index, 0, 0, "gone"
-        self.weight, self.start, self.known, self.benched = 1.0, 0, 0, False
+    def __init__(self, index, start):
+        self.index, self.zone, self.kind, self.state = index, 0, 0, "unknown"
+        self.weight, self.start, self.benched = 1.0, start, False
         self.forget()
 
     def forget(self):
@@ -70,8 +71,8 @@
 
 
 class Proxy:
-    def __init__(self, zone, usual, now, groups):
-        self.zone, self.usual, self.since, self.table = zone, usual, now, None
+    def __init__(self, zone, usual, groups):
+        self.zone, self.usual, self.table = zone, usual, None
         self.flows = [Decaying(DEMAND_SPAN, 2) for _ in range(groups)]   # flows, seconds counted
 
     def demand(self, now):
@@ -90,7 +91,7 @@
         self.pace = self.usual = max(1.0, service.get("lines_per_s") or 1e9)
         self.head, self.most = service.get("envelope", 6.0), service.get("most_waiting") or 1e9
         self.messages, self.over = service.get("messages_most", 0), service.get("counted_over_us", 10 * SECOND)
-        self.late, self.late_most = service.get("late_us", 0), service.get("late_most_us", SECOND)
+        self.late_most = service.get("late_most_us", SECOND)
         self.waiting, self.at, self.sent, self.round, self.marks, self.number = 0.0, 0, {}, {}, {}, 0
 
     def drain(self, now):
@@ -118,26 +119,21 @@
     def settle(self, now, orders):
         if not self.round:
             return
-        self.number = self.number % 65000 + 1
+        self.number = self.number % 250 + 1
         orders.mark(self.number)
         for p, lines in self.round.items():
             self.count(p)
             self.sent[p].append(now)
             self.waiting += lines + self.head + 1
-        self.marks[self.number] = (now, self.waiting)
-        while len(self.marks) > 200:
-            self.marks.pop(next(iter(self.marks)))
+        self.marks[self.number] = self.waiting
         self.round = {}
 
     def applied(self, mark, took):
         """The true pace shows in how long a message took against what lay before it."""
-        at, before = self.marks.get(mark, (None, 0))
-        if at is None:
-            return
-        spare = took - self.late_most
-        if spare > 0 and before / spare * SECOND < self.pace:
+        before, spare = self.marks.get(mark, 0.0), took - self.late_most
+        if before and spare > 0 and before / spare * SECOND < self.pace:
             self.pace = max(0.05 * self.usual, before / spare * SECOND)
-        elif took < self.late_most + before / self.usual * SECOND:
+        elif before and took < self.late_most + before / self.usual * SECOND:
             self.pace += (self.usual - self.pace) * 0.1
 
 
@@ -161,17 +157,13 @@
                 had = sums.setdefault(k, [0.0, 0.0])
                 had[0], had[1] = had[0] + part * tries, had[1] + part * missed
         points = []     # pools adjacent violators: misses don't fall with demand, whatever a long tail says
-        for k in sorted(sums):
-            if sums[k][0] < 1.0:
-                continue
-            points.append([exp(k * BUCKET), sums[k][0], sums[k][1], 1])
+        for k in sorted(k for k in sums if sums[k][0] >= 1.0):
+            points.append((exp(k * BUCKET), *sums[k]))
             while len(points) > 1 and points[-2][2] * points[-1][1] >= points[-1][2] * points[-2][1]:
-                x, tries, missed, n = points.pop()
-                had = points[-1]
-                had[0] = (had[0] * had[1] + x * tries) / (had[1] + tries)
-                had[1], had[2], had[3] = had[1] + tries, had[2] + missed, had[3] + n
+                (x0, t0, m0), (x1, t1, m1) = points[-2:]
+                points[-2:] = [((x0 * t0 + x1 * t1) / (t0 + t1), t0 + t1, m0 + m1)]
         hull = [(0.0, 0.0)]     # convex: a jammed zone's curve goes flat, and would say that it may as well be given up
-        for x, tries, missed, _ in points:
+        for x, tries, missed in points:
             while len(hull) > 1 and ((hull[-1][1] - hull[-2][1]) * (x - hull[-1][0])
                                      > (missed / tries - hull[-1][1]) * (hull[-1][0] - hull[-2][0])):
                 hull.pop()
@@ -269,20 +261,20 @@
         self.curves = [Curve() for _ in range(self.zones)]
         self.current = [2 * z for z in range(self.zones)]       # the table that a zone's proxies are led to
         self.share = [[float(i == j) for j in range(self.zones)] for i in range(self.zones)]
-        self.least = {}                                         # (from, to): deque of (time, latency)
+        self.least = {}                                         # (from, to): (time, latency) of the last second
         self.gap = [[0] * self.zones for _ in range(self.zones)]
-        self.first, self.bound, self.medians = None, None, []
+        self.first, self.bound, self.medians = None, None, []   # when latency was first heard; the bound of a miss
         self.next_beat = self.next_step = 0
-        self.ask_again, self.changed, self.cold_seen = 0, False, False
+        self.ask_again, self.changed = 0, False
         self.met = Decaying(2 * SECOND, 2)                      # delivered, delivered x latency
-        self.work, self.trust = None, 1.0                       # least mean latency met; what misses say of it
+        self.work, self.trust = None, 0.9                       # least mean latency met; what misses say of it
         self.carried = 0.0                                      # the most that was carried in calm
-        self.budget = min([g["latency_budget_us"] for g in self.groups if g.get("latency_budget_us")], default=0)
+        self.budget = min([g["latency_budget_us"] for g in self.groups if g.get("latency_budget_us")], default=10 * SECOND)
         columns = provisioning.get("telemetry", {}).get("columns", [])
         self.in_hand = columns.index("active") if "active" in columns else None
         self.calm = 0.0
         self.loads, self.unseen = {}, [1.0] * self.zones       # load per weight; others' part against the estimate
-        self.now, self.begun = 0, False
+        self.now, self.begun, self.logged = 0, False, (False, [])
 
     # --- the news ---
 
@@ -291,12 +283,10 @@
         for index, zone, kind, _, state, weight, start in entries:
             e = self.endpoints.get(index)
             if e is None:
-                e = self.endpoints[index] = Endpoint(index)
-                e.start, e.known = start, self.now
+                e = self.endpoints[index] = Endpoint(index, start)
             if start > e.start:         # the process is another one: what was heard of the old one says nothing
-                e.start, e.known = start, self.now
+                e.start, self.changed = start, True
                 e.forget()
-                self.cold_seen = True
             seen.add(index)
             e.zone, e.kind, e.weight = min(zone, self.zones - 1), kind, max(weight, 1e-3)
             if e.state != state:
@@ -311,7 +301,7 @@
         self.ask_again = self.now + SECOND      # a subscription that broke is silent: ask until it stands again
 
     def joined(self, proxy, zone, usual, fresh):
-        self.proxies[proxy] = Proxy(min(zone, self.zones - 1), usual, self.now, len(self.groups))
+        self.proxies[proxy] = Proxy(min(zone, self.zones - 1), usual, len(self.groups))
         self.channel.sent.pop(proxy, None)
 
     def left(self, proxy):
@@ -329,14 +319,13 @@
             e.busy.add(now, 1.0, report[self.in_hand] / e.weight)
         if delivered and latency > 0:
             e.latency.add(now, delivered, delivered * latency)
-            self.least.setdefault((zone, e.zone), deque()).append((now, latency))
+            self.least.setdefault((zone, e.zone), []).append((now, latency))
             if self.first is None:
                 self.first = now
             if now - self.first <= BOUND_HEARD:
                 self.medians.append(latency)
-                self.bound = min(BOUND_TIMES * median(self.medians), self.budget or 10 * SECOND)
-        if self.budget:
-            e.misses.add(now, tries, dropped + delivered * min(1.0, latency / self.budget) ** 3)
+                self.bound = min(BOUND_TIMES * median(self.medians), self.budget)
+        e.misses.add(now, tries, dropped + delivered * min(1.0, latency / self.budget) ** 3)
         self.met.add(now, delivered, delivered * latency)
         if zone == e.zone and zone in self.loads:
             # a report gives a mean: near the bound part of its tries miss, and a curve of steps would show it too late
@@ -351,10 +340,10 @@
     def applied(self, proxy, mark, took):
         self.channel.applied(mark, took)
 
-    def ignored(self, *_):
-        pass
+    def unused(self, *_):
+        """Calls that decide nothing yet: timers wake the round by themselves, slices and peers have no part in it."""
 
-    woken = probed = told = granted = stored = slice_asked = ignored
+    woken = probed = told = granted = stored = slice_asked = unused
 
     # --- estimates ---
 
@@ -367,7 +356,7 @@
 
     def usable(self, e):
         return e.state == "ready" or (e.state == "gone" and self.rules.get("removal_not_binding", False)
-                                      and not e.benched and e.known > 0)
+                                      and not e.benched)
 
     def strengths(self):
         """For each zone: endpoint -> weight by list, ramp, fading failures and measured pace."""
@@ -400,10 +389,16 @@
         unseen = max(0, self.service.get("proxy_count", 0) - len(self.proxies))
         if not unseen or not self.proxies:
             return own, own
+        zoned = self.service.get("by_zone")     # then whole zones are unheard: a few proxies carry far more than most
         expected = self.service["proxy_count"] / self.zones
-        lack = [max(0.0, expected - c) for c in count] if self.service.get("by_zone") else [1.0] * self.zones
-        zoned = self.service.get("by_zone")     # then whole zones are unheard; a few proxies carry far more than most
+        lack = [max(0.0, expected - c) if zoned else 1.0 for c in count]
         scale = unseen * (median(each) if zoned else sum(each) / len(each)) / max(sum(lack), 1e-9)
+        heard = [(e, *e.busy.read(self.now)) for e in self.endpoints.values() if e.busy.read(self.now)[0] > 0.2]
+        if heard and not zoned:     # load reports show everyone's flows in hand: rate x latency is this pilot's part
+            span = PACE_SPAN * (1 - exp((self.first - self.now - SECOND) / PACE_SPAN))
+            held = sum(e.latency.read(self.now)[1] for e, _, _ in heard) / span
+            seen = sum(load / n * e.weight for e, n, load in heard)
+            scale = min(scale, max(0.0, seen / max(held, 1e-9) - 1) * sum(own) / sum(lack))
         return own, [o + scale * k * u for o, k, u in zip(own, lack, self.unseen)]
 
     def learn_unseen(self):
@@ -416,17 +411,12 @@
 
     def gaps(self):
         """Cross-zone gap in one-second minimum latency; small moves don't touch the curves."""
-        least = {}
-        for pair, heard in self.least.items():
-            while heard and heard[0][0] < self.now - SECOND:
-                heard.popleft()
-            if heard:
-                least[pair] = min(v for _, v in heard)
+        self.least = {k: [x for x in heard if x[0] >= self.now - SECOND] for k, heard in self.least.items()}
+        least = {k: min(v for _, v in heard) for k, heard in self.least.items() if heard}
         for (i, j), v in least.items():
-            if i != j and (j, j) in least:
-                gap = max(0, v - least[j, j])
-                if abs(gap - self.gap[i][j]) > GAP_MOVES:
-                    self.gap[i][j] = gap
+            gap = max(0, v - least[j, j]) if (j, j) in least else self.gap[i][j]
+            if abs(gap - self.gap[i][j]) > GAP_MOVES:
+                self.gap[i][j] = gap
 
     # --- tables ---
 
@@ -446,23 +436,19 @@
     def write(self, table, lines, orders, urgent):
         """Turns a table into `lines`, charging every proxy on it; an empty table is never written."""
         had, users = self.lines.setdefault(table, {}), self.users(table)
-        if not lines:
-            return False
         new = [(k, w) for k, w in lines.items()
                if k not in had or (abs(had[k] - w) > (0.0 if not users else 0.15 * max(had[k], w)))]
         old = [k for k in had if k not in lines]
         cost = len(new) + len(old)
         if users and not self.channel.room(cost, users, urgent):
-            return False
+            return
         for k, w in new:        # first what comes, then what goes: the table has a line at every moment
             orders.line(table, k, w)
             had[k] = w
         for k in old:
             orders.line(table, k, 0)
             del had[k]
-        if cost:
-            self.channel.charge(users, cost)
-        return True
+        self.channel.charge(users if cost else (), cost)
 
     def bind(self, index, table, orders, urgent):
         lines = self.lines.get(table)
@@ -480,11 +466,7 @@
         """Draining or gone is benched at once for every proxy, bound or not; what returns is let in again."""
         for e in self.endpoints.values():
             out = not self.usable(e)
-            if out != e.benched and (out or e.state == "ready"):
-                if out and not any(self.usable(o) for o in self.endpoints.values()):
-                    continue
-                if not out and not self.channel.room(1, list(self.proxies), True):
-                    continue
+            if out != e.benched and (out or e.state == "ready" and self.channel.room(1, list(self.proxies), True)):
                 orders.bench(e.index, out)
                 e.benched = out
                 self.channel.charge(list(self.proxies), 1)
@@ -492,28 +474,28 @@
     def plan(self, orders, urgent):
         """One beat of the design: curves, spill, tables. Urgent: the tables in use are changed in place."""
         strengths = self.strengths()
-        self.learn_unseen()
+        if not urgent:
+            self.learn_unseen()
         own, demand = self.demands()
         capacity = [0.0] * self.zones
-        usual = [median([e.fade(self.now) for e in self.endpoints.values() if self.usable(e) and e.zone == z], 1.0)
-                 for z in range(self.zones)]
-        for e in self.endpoints.values():
-            if self.usable(e):
-                capacity[e.zone] += e.weight * self.ramp(e) * min(1.0, e.fade(self.now) / usual[e.zone])
-        part = self.let_in(sum(sum(s.values()) for s in strengths), sum(demand))
+        usable = [e for e in self.endpoints.values() if self.usable(e)]
+        usual = [median([e.fade(self.now) for e in usable if e.zone == z], 1.0) for z in range(self.zones)]
+        for e in usable:
+            capacity[e.zone] += e.weight * self.ramp(e) * min(1.0, e.fade(self.now) / usual[e.zone])
+        part = self.let_in(sum(sum(s.values()) for s in strengths), sum(demand), not urgent)
         demand = [d * part for d in demand]
         fits = [Curve.fit(self.now, c, [o for o in self.curves if o is not c]) or None for c in self.curves]
         self.gaps()
-        stretch = [[1.0 if not self.bound or i == j else
-                    1.0 / max(0.2, 1 - self.gap[i][j] / self.bound) for j in range(self.zones)]
-                   for i in range(self.zones)]
+        stretch = [[1 / max(0.2, 1 - gap / (self.bound or 1e9)) for gap in row] for row in self.gap]
         self.share = solve_spill(demand, capacity, fits, stretch)
-        self.loads = {}
-        for j in range(self.zones):
-            load = sum(demand[i] * self.share[i][j] for i in range(self.zones))
-            if capacity[j] > 0 and load > 0:
-                self.loads[j] = load / capacity[j]
+        self.spare_cold(demand, capacity)
+        loads = [sum(d * row[j] for d, row in zip(demand, self.share)) for j in range(self.zones)]
+        self.loads = {j: load / capacity[j] for j, load in enumerate(loads) if capacity[j] > 0 and load > 0}
         levels = self.plan_levels(part * sum(own))
+        sends = [z for z in range(self.zones) if demand[z] and self.share[z][z] < 0.9]
+        if (bool(levels), sends) != self.logged and not urgent:     # a change of state, at most once a beat
+            self.logged = bool(levels), sends
+            orders.log(f"refusing {100 - 100 * part if levels else 0:.0f}% of flows; zones spilling over 10%: {sends}")
         for table in list(self.lines):
             self.write_levels(table, levels, orders)
         for zone in range(self.zones):
@@ -536,27 +518,46 @@
                 self.write(table ^ 1, lines, orders, False)
                 self.current[zone] = table ^ 1
 
-    def let_in(self, strength, demand):
+    def spare_cold(self, demand, capacity):
+        """Holds zones that are cold to little more than the mean load: a budget over all pilots' flows.
+
+        Guards against a zone that returns cold when there is no curve, as after a restart. It costs cross-zone flows."""
+        full, zones = sum(capacity), range(self.zones)
+        for j in zones:
+            listed = sum(e.weight for e in self.endpoints.values() if e.zone == j and self.usable(e))
+            load = sum(demand[i] * self.share[i][j] for i in zones)
+            most = COLD_LOAD * sum(demand) / full * capacity[j] if full else 0.0
+            if not 0 < capacity[j] < COLD_PART * listed or load <= most or capacity[j] == full:
+                continue
+            for i in zones:
+                spared = self.share[i][j] * (1 - most / load)
+                self.share[i][j] -= spared
+                for k in zones:
+                    if k != j:
+                        self.share[i][k] += spared * capacity[k] / (full - capacity[j])
+
+    def let_in(self, strength, demand, learn):
         """Part of the demand that the endpoints can do: their weight over the time a flow takes, corrected by misses.
 
         Guards against a jam that feeds itself: late work, further tries and clients that ask again."""
         delivered, took = self.met.read(self.now)
-        if delivered > 20:
+        if delivered > 20 and self.now - self.first > SECOND:     # what is answered first is the short work
             mean = took / delivered / SECOND
-            self.work = min(self.work or mean, mean, (self.budget or 10 * SECOND) / 3 / SECOND)
+            self.work = min(self.work or mean, mean, self.budget / 3 / SECOND)
         if not self.work or not demand or not strength:
             return 1.0
         needed = demand * self.work / strength
-        sums = [e.misses.read(self.now) for e in self.endpoints.values() if self.usable(e)]
-        missed = median([m / t for t, m in sums if t > 1])      # of the endpoint in the middle: one that hangs
-        busy = [e.busy.read(self.now) for e in self.endpoints.values() if self.usable(e)]
-        busy = median([load / n for n, load in busy if n > 0.2])
+        if not learn:
+            return min(1.0, self.trust / needed)
+        sums = [(*e.misses.read(self.now), *e.busy.read(self.now)) for e in self.endpoints.values() if self.usable(e)]
+        missed = median([m / t for t, m, _, _ in sums if t > 1])    # of the endpoint in the middle: one that hangs
+        busy = median([load / n for _, _, n, load in sums if n > 0.2])
         calm = missed is not None and missed < CALM_MISSES
         if calm:
             self.carried = max(self.carried * 0.995, min(needed, self.trust))
             self.calm = max(self.calm * 0.99, busy or 0.0)
         if calm or (busy is not None and busy <= self.calm):
-            self.trust = min(SHED_MOST, self.trust * 1.03)
+            self.trust = min(SHED_MOST, self.trust * 1.05) if needed > 0.9 * self.trust else self.trust
         elif missed is not None and missed > SHED_MISSES and (busy is None or busy > 1.3 * self.calm + 0.1):
             self.trust = max(0.9 * self.carried, min(self.trust, needed) * 0.9)
         return min(1.0, self.trust / needed)
@@ -593,8 +594,10 @@
         for zone in range(self.zones):
             here = [i for i, p in self.proxies.items() if p.zone == zone]
             late = [i for i in here if self.proxies[i].table not in (None, self.current[zone])]
-            for i in late[:max(1, round(len(here) * STAGE_PART))]:
-                self.bind(i, self.current[zone], orders, False)
+            left = max(1, round(len(here) * STAGE_PART))
+            for i in late:
+                if left and self.bind(i, self.current[zone], orders, False):
+                    left -= 1
 
     def round(self, now, news, orders):
         first = self.now == 0 and self.next_beat == 0
@@ -610,10 +613,10 @@
         if self.ask_again and now >= self.ask_again:
             orders.observe(True)
             self.ask_again = now + 5 * SECOND
-        if first or self.changed or self.cold_seen:
-            self.follow_list(orders)
+        self.follow_list(orders)
+        if first or self.changed:
             self.plan(orders, True)
-            self.changed = self.cold_seen = False
+            self.changed = False
         for i, p in self.proxies.items():
             if p.table is None:
                 self.bind(i, self.current[p.zone], orders, True)
