--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -16,7 +16,7 @@
 TARGET, QUANTUM = 0.05, 0.01
 BOUND_TIMES, BOUND_HEARD = 3, 10 * SECOND   # the bound of a miss: times the median of the first while
 GAP_MOVES = 1000                            # a gap shifts a curve once it has moved by more than this
-BUCKET = 0.07                               # width of a curve's bucket, in the logarithm of demand per weight
+BUCKET = 0.12                               # width of a curve's bucket, in the logarithm of demand per weight
 CURVE_SPAN = 25 * SECOND                    # how long a curve remembers
 POOLED = 0.15                               # part that the other zones' points have in a zone's curve
 STEEP = 0.6                                 # rise of misses beyond what was seen, per doubling of the demand
@@ -26,7 +26,7 @@
 WORTH_LINES = 0.08                          # a table is staged when so much of its weight goes elsewhere
 LEVEL_MOVES = 0.1                           # a level is written again once it has moved by this part
 SHED_MISSES, CALM_MISSES = 0.15, 0.06       # of the tries: the estimate of capacity goes down, or up again
-SHED_LEAST, SHED_MOST = 0.9, 1.3            # how far down, from what was carried in calm, and how far up
+SHED_LEAST, TRUST = 0.9, 0.8                # least of what was carried in calm; trust in the first estimate
 KEPT_IN = 0.05                              # part of a group that is let in even then: it still has to be heard
 UNLIMITED = 1e6
 COLD_LOAD, COLD_PART = 1.2, 0.7             # most load of a cold zone against the mean; so cold is cold
@@ -267,14 +267,15 @@
         self.next_beat = self.next_step = 0
         self.ask_again, self.changed = 0, False
         self.met = Decaying(2 * SECOND, 2)                      # delivered, delivered x latency
-        self.work, self.trust = None, 0.9                       # least mean latency met; what misses say of it
+        sized = provisioning.get("weights", "rough") != "none"
+        self.work, self.trust = None, TRUST if sized else UNLIMITED     # least mean latency; what misses say of it
         self.carried = 0.0                                      # the most that was carried in calm
         self.budget = min([g["latency_budget_us"] for g in self.groups if g.get("latency_budget_us")], default=10 * SECOND)
         columns = provisioning.get("telemetry", {}).get("columns", [])
         self.in_hand = columns.index("active") if "active" in columns else None
         self.calm = 0.0
         self.loads, self.unseen = {}, [1.0] * self.zones       # load per weight; others' part against the estimate
-        self.now, self.begun, self.logged = 0, False, (False, [])
+        self.now, self.begun, self.jammed, self.logged = 0, False, False, (False, [])
 
     # --- the news ---
 
@@ -541,7 +542,7 @@
 
         Guards against a jam that feeds itself: late work, further tries and clients that ask again."""
         delivered, took = self.met.read(self.now)
-        if delivered > 20 and self.now - self.first > SECOND:     # what is answered first is the short work
+        if delivered > 20:
             mean = took / delivered / SECOND
             self.work = min(self.work or mean, mean, self.budget / 3 / SECOND)
         if not self.work or not demand or not strength:
@@ -557,9 +558,10 @@
             self.carried = max(self.carried * 0.995, min(needed, self.trust))
             self.calm = max(self.calm * 0.99, busy or 0.0)
         if calm or (busy is not None and busy <= self.calm):
-            self.trust = min(SHED_MOST, self.trust * 1.05) if needed > 0.9 * self.trust else self.trust
+            if needed > 0.9 * self.trust:   # a size in other units than flows shows before the first jam
+                self.trust *= 1.3 if not self.jammed and needed > 1.3 * self.trust else 1.05
         elif missed is not None and missed > SHED_MISSES and (busy is None or busy > 1.3 * self.calm + 0.1):
-            self.trust = max(0.9 * self.carried, min(self.trust, needed) * 0.9)
+            self.trust, self.jammed = max(SHED_LEAST * self.carried, min(self.trust, needed) * 0.9), True
         return min(1.0, self.trust / needed)
 
     def plan_levels(self, allowed):
