--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -22,7 +22,7 @@
 STEEP = 0.6                                 # rise of misses beyond what was seen, per doubling of the demand
 MARGIN = 1.2                                # demand may rise by so much before the next tables are in force
 HEALTH_SPAN, HEALTH_PRIOR, FADED = 6 * SECOND, 3.0, 0.02
-PACE_SPAN, PACE_LEAST, PACE_MOST = 12 * SECOND, 0.3, 2.0
+PACE_SPAN, PACE_LEAST, PACE_MOST = 12 * SECOND, 0.1, 2.0
 WORTH_LINES = 0.08                          # a table is staged when so much of its weight goes elsewhere
 LEVEL_MOVES = 0.1                           # a level is written again once it has moved by this part
 SHED_MISSES, CALM_MISSES = 0.15, 0.06       # of the tries: the estimate of capacity goes down, or up again
@@ -375,7 +375,7 @@
             if usual:
                 took = mean.get(e.index) or median(
                     [mean[o.index] for o in self.endpoints.values() if o.index in mean and o.kind == e.kind], usual)
-                pace = min(PACE_MOST, max(PACE_LEAST, usual / took))
+                pace = min(PACE_MOST, max(PACE_LEAST, (usual / took) ** 1.0))
             out[e.zone][e.index] = e.weight * self.ramp(e) * e.fade(self.now) * pace
         return out
 
