--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -1,7 +1,7 @@
 """Every decision of ravenshelf: which proxy holds which lines, what it lets in and when it tries again.
 
-Called as `Controller(provisioning, seed)`, then `Controller.round(now, news, orders)` once for each batch: `news` is
-a list of (call name, values), decisions go into `orders`. `interface.py` describes the calls and the writer.
+Called as `Controller(provisioning, seed)`, then once a batch as `Controller.round(now, news, orders)`: `news`
+is a list of (call name, values), decisions go into `orders`; both are described in `interface.py`.
 In this order: measures, the list, channel, curves, `solve_spill`, the controller. Times are microseconds.
 """
 import random
@@ -27,14 +27,14 @@
 LEVEL_MOVES = 0.1                           # a level is written again once it has moved by this part
 SHED_MISSES, CALM_MISSES = 0.15, 0.06       # of the tries: the estimate of capacity goes down, or up again
 SHED_LEAST, TRUST = 0.9, 0.8                # least of what was carried in calm; trust in the first estimate
-KEPT_IN = 0.05                              # part of a group that is let in even then: it still has to be heard
+KEPT_IN = 0.05                              # part of a group that is let in all the same, to be heard
 UNLIMITED = 1e6
+UNSEEN_UP, UNSEEN_DOWN, UNSEEN_MOST = 1.25, 0.93, 4.0       # how the guess at unheard demand moves
 COLD_LOAD, COLD_PART = 1.2, 0.7             # most load of a cold zone against the mean; so cold is cold
 
 
 class Decaying:
     """A few sums that fade with time, brought up to date when they are read."""
-    __slots__ = ("span", "at", "sums")
 
     def __init__(self, span, size):
         self.span, self.at, self.sums = span, 0, [0.0] * size
@@ -80,7 +80,7 @@
         sums = [d.read(now) for d in self.flows]
         if sum(s[1] for s in sums) < 0.1:
             return None
-        longest = max(s[1] for s in sums)   # a group without flows goes unreported: its time passes all the same
+        longest = max(s[1] for s in sums)   # a group without flows goes unreported all that time
         return [s[0] / longest for s in sums]
 
 
@@ -90,7 +90,8 @@
     def __init__(self, service):
         self.pace = self.usual = max(1.0, service.get("lines_per_s") or 1e9)
         self.head, self.most = service.get("envelope", 6.0), service.get("most_waiting") or 1e9
-        self.messages, self.over = service.get("messages_most", 0), service.get("counted_over_us", 10 * SECOND)
+        self.messages = service.get("messages_most", 0)
+        self.over = service.get("counted_over_us", 10 * SECOND)
         self.late_most = service.get("late_most_us", SECOND)
         self.waiting, self.at, self.sent, self.round, self.marks, self.number = 0.0, 0, {}, {}, {}, 0
 
@@ -99,12 +100,13 @@
         self.at = now
 
     def room(self, lines, proxies, urgent):
-        """Whether so many lines to each of these proxies fit; the ordinary leaves half of the queue to the urgent."""
+        """Whether so many lines to each of these proxies fit; the ordinary leaves half to the urgent."""
         asked = sum(v + self.head + 1 for v in self.round.values()) + len(proxies) * (lines + self.head + 1)
         if self.waiting + asked > self.most * (0.9 if urgent else 0.45):
             return False
         keep = 3 if urgent else max(3, round(self.messages * 0.4))     # the last ones are for withdrawals
-        return not self.messages or all(p in self.round or self.count(p) < self.messages - keep for p in proxies)
+        few = self.messages - keep
+        return not self.messages or all(p in self.round or self.count(p) < few for p in proxies)
 
     def count(self, proxy):
         sent = self.sent.setdefault(proxy, deque())
@@ -122,8 +124,7 @@
         self.number = self.number % 250 + 1
         orders.mark(self.number)
         for p, lines in self.round.items():
-            self.count(p)
-            self.sent[p].append(now)
+            self.sent.setdefault(p, deque()).append(now)
             self.waiting += lines + self.head + 1
         self.marks[self.number] = self.waiting
         self.round = {}
@@ -149,7 +150,7 @@
 
     @staticmethod
     def fit(now, own, others):
-        """Points (x, share) that rise with x, from a zone's own buckets and, for little, those of the others."""
+        """Points (x, share) that rise with x, from a zone's own buckets and, for little, the others'."""
         sums = {}
         for curve, part in [(own, 1.0)] + [(o, POOLED) for o in others]:
             for k, decaying in curve.buckets.items():
@@ -162,7 +163,7 @@
             while len(points) > 1 and points[-2][2] * points[-1][1] >= points[-1][2] * points[-2][1]:
                 (x0, t0, m0), (x1, t1, m1) = points[-2:]
                 points[-2:] = [((x0 * t0 + x1 * t1) / (t0 + t1), t0 + t1, m0 + m1)]
-        hull = [(0.0, 0.0)]     # convex: a jammed zone's curve goes flat, and would say that it may as well be given up
+        hull = [(0.0, 0.0)]     # convex: a jammed zone's curve goes flat and would have it given up
         for x, tries, missed in points:
             while len(hull) > 1 and ((hull[-1][1] - hull[-2][1]) * (x - hull[-1][0])
                                      > (missed / tries - hull[-1][1]) * (hull[-1][0] - hull[-2][0])):
@@ -185,14 +186,15 @@
 def solve_spill(demand, capacity, curves, stretch):
     """KurmaCost by greedy quanta: the share of each zone's demand that every zone carries.
 
-    demand: flows a second; capacity: listed weight that is live; curves: points or None; stretch[i][j]: by how much
-    the gap from i to j makes j's load count more. Returns rows that sum to 1. Pure."""
+    demand: flows a second; capacity: listed weight that is live; curves: points or None; stretch[i][j]: by
+    how much the gap from i to j makes j's load count more. Returns rows that sum to 1. Pure."""
     zones = range(len(demand))
     live = [z for z in zones if capacity[z] > 0]
     load, share = list(demand), [[float(i == j) for j in zones] for i in zones]
 
     def missing(i, j, more=0.0):
-        return read_curve(curves[j], MARGIN * (load[j] + more) / capacity[j] * stretch[i][j]) if curves[j] else 0.0
+        x = MARGIN * (load[j] + more) / capacity[j] * stretch[i][j]
+        return read_curve(curves[j], x) if curves[j] else 0.0
 
     def misses(i):
         return sum(share[i][j] * missing(i, j) for j in live if share[i][j])
@@ -208,13 +210,14 @@
         """Pairs between which a quantum may go: no zone both sends and receives, none without data spills."""
         takes = [any(share[i][j] > 1e-9 for i in zones if i != j) for j in zones]
         sends = [share[i][i] < 1 - 1e-9 for i in zones]
-        return [(i, j) for i in sending if curves[i] and not takes[i] and share[i][i] >= QUANTUM and demand[i] > 0
+        return [(i, j) for i in sending if curves[i] and not takes[i] and share[i][i] >= QUANTUM and demand[i]
                 for j in live if j != i and curves[j] and not sends[j]]
 
     for i in zones if live else ():
-        if capacity[i] <= 0:    # a zone with no live server sends all: quantum by quantum to where it is lightest
+        if capacity[i] <= 0:    # a zone with no live server sends all, to where it is lightest
             for _ in range(round(1 / QUANTUM)):
-                move(i, min(live, key=lambda j: (load[j] + QUANTUM * demand[i]) / capacity[j] * stretch[i][j]))
+                more = QUANTUM * demand[i]
+                move(i, min(live, key=lambda j: (load[j] + more) / capacity[j] * stretch[i][j]))
             share[i][i] = 0.0
     while True:                 # feasible: as little as brings every zone under the target
         best = min(((max(missing(i, j, QUANTUM * demand[i]), missing(j, j, QUANTUM * demand[i])), i, j)
@@ -222,7 +225,7 @@
         if best[0] > TARGET:
             break
         move(*best[1:])
-    while any(misses(z) > TARGET for z in zones if demand[z]):      # infeasible: as few misses in all as can be
+    while any(misses(z) > TARGET for z in zones if demand[z]):  # infeasible: as few misses in all as can be
         before, best = total(), (1e-9,)
         for i, j in moves(live):
             move(i, j)
@@ -254,27 +257,26 @@
         self.service, self.rules = provisioning.get("service", {}), provisioning.get("rules", {})
         self.groups = provisioning.get("traffic_groups", [])
         self.zones = max(1, len(provisioning.get("zones", [])))
-        self.ask = provisioning.get("discovery") == "on_request"
         self.chance = random.Random(seed)
         self.channel = Channel(self.service)
         self.endpoints, self.proxies, self.lines, self.levels = {}, {}, {}, {}
         self.curves = [Curve() for _ in range(self.zones)]
         self.current = [2 * z for z in range(self.zones)]       # the table that a zone's proxies are led to
         self.share = [[float(i == j) for j in range(self.zones)] for i in range(self.zones)]
-        self.least = {}                                         # (from, to): (time, latency) of the last second
+        self.least = {}                                         # (from, to): latencies of the last second
         self.gap = [[0] * self.zones for _ in range(self.zones)]
-        self.first, self.bound, self.medians = None, None, []   # when latency was first heard; the bound of a miss
+        self.first, self.bound, self.medians = None, None, []   # first latency heard; bound of a miss
         self.next_beat = self.next_step = 0
-        self.ask_again, self.changed = 0, False
+        self.ask_again, self.changed = int(provisioning.get("discovery") == "on_request"), False
         self.met = Decaying(2 * SECOND, 2)                      # delivered, delivered x latency
         sized = provisioning.get("weights", "rough") != "none"
-        self.work, self.trust = None, TRUST if sized else UNLIMITED     # least mean latency; what misses say of it
+        self.work, self.trust = None, TRUST if sized else UNLIMITED     # least mean latency; misses on it
         self.carried = 0.0                                      # the most that was carried in calm
-        self.budget = min([g["latency_budget_us"] for g in self.groups if g.get("latency_budget_us")], default=10 * SECOND)
+        self.budget = min([g.get("latency_budget_us") or 10 * SECOND for g in self.groups], default=SECOND)
         columns = provisioning.get("telemetry", {}).get("columns", [])
         self.in_hand = columns.index("active") if "active" in columns else None
         self.calm = 0.0
-        self.loads, self.unseen = {}, [1.0] * self.zones       # load per weight; others' part against the estimate
+        self.loads, self.unseen = {}, [1.0] * self.zones  # load per weight; others to the guess
         self.now, self.begun, self.jammed, self.logged = 0, False, False, (False, [])
 
     # --- the news ---
@@ -285,7 +287,7 @@
             e = self.endpoints.get(index)
             if e is None:
                 e = self.endpoints[index] = Endpoint(index, start)
-            if start > e.start:         # the process is another one: what was heard of the old one says nothing
+            if start > e.start:         # another process: what was heard of the old one says nothing
                 e.start, self.changed = start, True
                 e.forget()
             seen.add(index)
@@ -296,10 +298,10 @@
             for e in self.endpoints.values():
                 if e.index not in seen and e.state != "gone":
                     e.state, self.changed = "gone", True
-        self.ask_again = 0
+        self.ask_again = self.ask_again if how == "restored" else 0
 
     def list_failed(self):
-        self.ask_again = self.now + SECOND      # a subscription that broke is silent: ask until it stands again
+        self.ask_again = self.now + SECOND      # a broken subscription is silent: ask again
 
     def joined(self, proxy, zone, usual, fresh):
         self.proxies[proxy] = Proxy(min(zone, self.zones - 1), usual, len(self.groups))
@@ -329,7 +331,7 @@
         e.misses.add(now, tries, dropped + delivered * min(1.0, latency / self.budget) ** 3)
         self.met.add(now, delivered, delivered * latency)
         if zone == e.zone and zone in self.loads:
-            # a report gives a mean: near the bound part of its tries miss, and a curve of steps would show it too late
+            # a report gives a mean: near the bound part of its tries miss; steps would show it too late
             soft = dropped + (delivered * min(1.0, latency / self.bound) ** 4 if self.bound else 0)
             self.curves[zone].add(now, self.loads[zone], tries, soft)
 
@@ -342,22 +344,26 @@
         self.channel.applied(mark, took)
 
     def unused(self, *_):
-        """Calls that decide nothing yet: timers wake the round by themselves, slices and peers have no part in it."""
+        """Calls that decide nothing: a timer wakes the round by itself, slices and peers have no part."""
 
     woken = probed = told = granted = stored = slice_asked = unused
 
     # --- estimates ---
 
     def ramp(self, e):
-        """A new endpoint comes in over the ramp; it starts at the share of its capacity that the list promises."""
+        """A new endpoint comes in over the ramp, from the share of its capacity that the settings promise."""
         if e.start <= 0:
             return 1.0
         cold = self.rules.get("cold_share", 0.2)
         return min(1.0, cold + (1 - cold) * max(0, self.now - e.start) / RAMP)
 
-    def usable(self, e):
-        return e.state == "ready" or (e.state == "gone" and self.rules.get("removal_not_binding", False)
-                                      and not e.benched)
+    def open(self, e):
+        """Whether tables may hold it; where removal does not bind, only draining shuts an endpoint out."""
+        kept = self.rules.get("removal_not_binding", False) and e.state == "gone" and not e.benched
+        return e.state == "ready" or kept
+
+    def usable(self):
+        return [e for e in self.endpoints.values() if self.open(e)]
 
     def strengths(self):
         """For each zone: endpoint -> weight by list, ramp, fading failures and measured pace."""
@@ -367,20 +373,18 @@
             n, total = e.latency.read(self.now)
             if n > 2:
                 mean[e.index] = total / n
-        for e in self.endpoints.values():
-            if not self.usable(e):
-                continue
-            usual = median([mean[o.index] for o in self.endpoints.values() if o.index in mean and o.zone == e.zone])
+        for e in self.usable():
+            usual = median([v for o, v in mean.items() if self.endpoints[o].zone == e.zone])
             pace = 1.0
             if usual:
-                took = mean.get(e.index) or median(
-                    [mean[o.index] for o in self.endpoints.values() if o.index in mean and o.kind == e.kind], usual)
+                kin = [v for o, v in mean.items() if self.endpoints[o].kind == e.kind]
+                took = mean.get(e.index) or median(kin, usual)
                 pace = min(PACE_MOST, max(PACE_LEAST, (usual / took) ** 1.0))
             out[e.zone][e.index] = e.weight * self.ramp(e) * e.fade(self.now) * pace
         return out
 
     def demands(self):
-        """Flows a second by zone: those of the own proxies, and an estimate for those that join other pilots."""
+        """Flows a second by zone: of the own proxies, and estimated for those that join other pilots too."""
         own, count, each = [0.0] * self.zones, [0] * self.zones, []
         for p in self.proxies.values():
             asked = p.demand(self.now)
@@ -390,12 +394,13 @@
         unseen = max(0, self.service.get("proxy_count", 0) - len(self.proxies))
         if not unseen or not self.proxies:
             return own, own
-        zoned = self.service.get("by_zone")     # then whole zones are unheard: a few proxies carry far more than most
+        zoned = self.service.get("by_zone")     # then whole zones are unheard, and a few proxies carry most
         expected = self.service["proxy_count"] / self.zones
         lack = [max(0.0, expected - c) if zoned else 1.0 for c in count]
         scale = unseen * (median(each) if zoned else sum(each) / len(each)) / max(sum(lack), 1e-9)
-        heard = [(e, *e.busy.read(self.now)) for e in self.endpoints.values() if e.busy.read(self.now)[0] > 0.2]
-        if heard and not zoned:     # load reports show everyone's flows in hand: rate x latency is this pilot's part
+        heard = [(e, *e.busy.read(self.now)) for e in self.endpoints.values()]
+        heard = [x for x in heard if x[1] > 0.2]
+        if heard and not zoned:     # reports show all flows in hand: rate x latency is this pilot's part
             span = PACE_SPAN * (1 - exp((self.first - self.now - SECOND) / PACE_SPAN))
             held = sum(e.latency.read(self.now)[1] for e, _, _ in heard) / span
             seen = sum(load / n * e.weight for e, n, load in heard)
@@ -403,12 +408,13 @@
         return own, [o + scale * k * u for o, k, u in zip(own, lack, self.unseen)]
 
     def learn_unseen(self):
-        """What others send to a zone shows in what this pilot's own flows meet there, against what was expected."""
+        """What others send to a zone shows in what this pilot's own flows meet there."""
         for z in range(self.zones):
-            sums = [e.misses.read(self.now) for e in self.endpoints.values() if e.zone == z and self.usable(e)]
+            sums = [e.misses.read(self.now) for e in self.usable() if e.zone == z]
             tries, missed = sum(t for t, _ in sums), sum(m for _, m in sums)
             if tries > 3 and not any(p.zone == z for p in self.proxies.values()):
-                self.unseen[z] = min(4.0, max(0.25, self.unseen[z] * (1.25 if missed > 2 * TARGET * tries else 0.93)))
+                moved = self.unseen[z] * (UNSEEN_UP if missed > 2 * TARGET * tries else UNSEEN_DOWN)
+                self.unseen[z] = min(UNSEEN_MOST, max(1 / UNSEEN_MOST, moved))
 
     def gaps(self):
         """Cross-zone gap in one-second minimum latency; small moves don't touch the curves."""
@@ -453,7 +459,8 @@
 
     def bind(self, index, table, orders, urgent):
         lines = self.lines.get(table)
-        cost = 1 + len(lines or ()) + len(self.levels.get(table, ())) + sum(e.benched for e in self.endpoints.values())
+        out = sum(e.benched for e in self.endpoints.values())
+        cost = 1 + len(lines or ()) + len(self.levels.get(table, ())) + out
         if not lines or not self.channel.room(cost, [index], urgent):
             return False
         orders.bind(index, table)
@@ -466,8 +473,8 @@
     def follow_list(self, orders):
         """Draining or gone is benched at once for every proxy, bound or not; what returns is let in again."""
         for e in self.endpoints.values():
-            out = not self.usable(e)
-            if out != e.benched and (out or e.state == "ready" and self.channel.room(1, list(self.proxies), True)):
+            out = not self.open(e)
+            if out != e.benched and (out or self.channel.room(1, list(self.proxies), True)):
                 orders.bench(e.index, out)
                 e.benched = out
                 self.channel.charge(list(self.proxies), 1)
@@ -479,7 +486,7 @@
             self.learn_unseen()
         own, demand = self.demands()
         capacity = [0.0] * self.zones
-        usable = [e for e in self.endpoints.values() if self.usable(e)]
+        usable = self.usable()
         usual = [median([e.fade(self.now) for e in usable if e.zone == z], 1.0) for z in range(self.zones)]
         for e in usable:
             capacity[e.zone] += e.weight * self.ramp(e) * min(1.0, e.fade(self.now) / usual[e.zone])
@@ -496,7 +503,8 @@
         sends = [z for z in range(self.zones) if demand[z] and self.share[z][z] < 0.9]
         if (bool(levels), sends) != self.logged and not urgent:     # a change of state, at most once a beat
             self.logged = bool(levels), sends
-            orders.log(f"refusing {100 - 100 * part if levels else 0:.0f}% of flows; zones spilling over 10%: {sends}")
+            refused = 100 - 100 * part if levels else 0
+            orders.log(f"refusing {refused:.0f}% of flows; zones spilling over 10%: {sends}")
         for table in list(self.lines):
             self.write_levels(table, levels, orders)
         for zone in range(self.zones):
@@ -522,10 +530,10 @@
     def spare_cold(self, demand, capacity):
         """Holds zones that are cold to little more than the mean load: a budget over all pilots' flows.
 
-        Guards against a zone that returns cold when there is no curve, as after a restart. It costs cross-zone flows."""
+        Guards against a zone that comes back cold without a curve, as after a restart. Costs spill."""
         full, zones = sum(capacity), range(self.zones)
         for j in zones:
-            listed = sum(e.weight for e in self.endpoints.values() if e.zone == j and self.usable(e))
+            listed = sum(e.weight for e in self.usable() if e.zone == j)
             load = sum(demand[i] * self.share[i][j] for i in zones)
             most = COLD_LOAD * sum(demand) / full * capacity[j] if full else 0.0
             if not 0 < capacity[j] < COLD_PART * listed or load <= most or capacity[j] == full:
@@ -538,20 +546,19 @@
                         self.share[i][k] += spared * capacity[k] / (full - capacity[j])
 
     def let_in(self, strength, demand, learn):
-        """Part of the demand that the endpoints can do: their weight over the time a flow takes, corrected by misses.
+        """Part of the demand that endpoints can do: weight over the time a flow takes, corrected by misses.
 
         Guards against a jam that feeds itself: late work, further tries and clients that ask again."""
         delivered, took = self.met.read(self.now)
         if delivered > 20:
-            mean = took / delivered / SECOND
-            self.work = min(self.work or mean, mean, self.budget / 3 / SECOND)
+            self.work = min(self.work or 1e9, took / delivered / SECOND, self.budget / 3 / SECOND)
         if not self.work or not demand or not strength:
             return 1.0
         needed = demand * self.work / strength
         if not learn:
             return min(1.0, self.trust / needed)
-        sums = [(*e.misses.read(self.now), *e.busy.read(self.now)) for e in self.endpoints.values() if self.usable(e)]
-        missed = median([m / t for t, m, _, _ in sums if t > 1])    # of the endpoint in the middle: one that hangs
+        sums = [(*e.misses.read(self.now), *e.busy.read(self.now)) for e in self.usable()]
+        missed = median([m / t for t, m, _, _ in sums if t > 1])    # of the middle: a hang is no overload
         busy = median([load / n for _, _, n, load in sums if n > 0.2])
         calm = missed is not None and missed < CALM_MISSES
         if calm:
@@ -566,18 +573,17 @@
 
     def plan_levels(self, allowed):
         """Levels by utility: the group worth least is let in last."""
-        if self.service.get("level_kind") != "per_second":
-            return {}
-        levels, left = {}, allowed
+        kind, levels, left = self.service.get("level_kind"), {}, allowed
         asked = [[(p.demand(self.now) or [0.0] * len(self.groups))[g] for p in self.proxies.values()]
                  for g in range(len(self.groups))]
-        if not self.proxies or allowed >= 0.99 * sum(map(sum, asked)):
+        if kind not in ("per_second", "fraction") or allowed >= 0.99 * sum(map(sum, asked)):
             return {}
         for g in sorted(range(len(self.groups)), key=lambda g: -self.groups[g].get("utility", 1.0)):
-            level = water_level(asked[g], max(left, KEPT_IN * min(allowed, sum(asked[g]))))
-            left -= sum(asked[g])
-            if level is not None:
-                levels[g] = round(max(level, 0.05), 2)
+            total, part = sum(asked[g]), max(left, KEPT_IN * min(allowed, sum(asked[g])))
+            left -= total
+            if part < 0.999 * total:
+                level = water_level(asked[g], part) if kind == "per_second" else part / total
+                levels[g] = round(max(0.02, level), 2)
         return levels
 
     def write_levels(self, table, levels, orders):
@@ -597,12 +603,12 @@
             here = [i for i, p in self.proxies.items() if p.zone == zone]
             late = [i for i in here if self.proxies[i].table not in (None, self.current[zone])]
             left = max(1, round(len(here) * STAGE_PART))
-            for i in late:
+            for i in self.chance.sample(late, len(late)):
                 if left and self.bind(i, self.current[zone], orders, False):
                     left -= 1
 
     def round(self, now, news, orders):
-        first = self.now == 0 and self.next_beat == 0
+        first = not self.next_beat
         self.now = now
         self.channel.drain(now)
         for name, values in news:
@@ -610,8 +616,6 @@
         if first:
             self.next_beat, self.next_step = now + BEAT, now + STEP
             orders.wake(self.next_step, "step")
-            if self.ask:
-                orders.observe(True)
         if self.ask_again and now >= self.ask_again:
             orders.observe(True)
             self.ask_again = now + 5 * SECOND
@@ -622,7 +626,7 @@
         for i, p in self.proxies.items():
             if p.table is None:
                 self.bind(i, self.current[p.zone], orders, True)
-        if self.proxies and not self.loads:     # what is heard before the first beat belongs to the load known by then
+        if self.proxies and not self.loads:     # what is heard before the first beat belongs to this load
             self.plan(orders, True)
         if self.first and not self.begun and now - self.first > SECOND // 4:
             self.begun, self.next_beat = True, now
--- a/ravenshelf/wirehost/decode.py
+++ b/ravenshelf/wirehost/decode.py
@@ -7,8 +7,9 @@
 LISTS = ("update", "replace", "restored", "unavailable")
 WORDS = {
     "azs": "zones", "balancers": "pilots", "classes": "traffic_groups", "objective": "latency_budget",
-    "deadline": "expiry", "importance": "utility", "late_worth": "late_utility", "memory_span": "dedupe_window",
-    "idempotency": "effect", "key_scope": "dedupe_scope", "family_info": "service", "family": "service_kind",
+    "deadline": "expiry", "importance": "utility", "late_worth": "late_utility",
+    "memory_span": "dedupe_window", "idempotency": "effect",
+    "key_scope": "dedupe_scope", "family_info": "service", "family": "service_kind",
 }
 EFFECTS = {"pure": "retriable", "token": "deduped", "side_effect": "non-retriable"}
 
@@ -92,7 +93,8 @@
     "detached": (1, lambda ids, v: ("left", (int(v[0]),)), "proxy"),
     "tally": (7, heard, "rack-zone unanswered endpoint cost-time-ms window-ms number metrics"),
     "proxy_stats": (5, asked, "proxy grade number unanswered window-ms"),
-    "acked": (3, lambda ids, v: ("applied", (int(v[0]), int(v[1]), micros(v[2]))), "proxy version cost-time-ms"),
+    "acked": (3, lambda ids, v: ("applied", (int(v[0]), int(v[1]), micros(v[2]))),
+              "proxy version cost-time-ms"),
     "due": (1, lambda ids, v: ("woken", (v[0],)), "key-back"),
     "checked": (4, probed, "endpoint rc cost-time-ms metrics"),
     "neighbour_says": (2, lambda ids, v: ("told", (int(v[0]), octets(v[1]))), "neighbour octets"),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -134,6 +134,12 @@
     assert all(p.kept.tables[t] for t in p.kept.bound.values())
 
 
+def test_a_restarted_pilot_holds_a_zone_back_that_returns_cold(pilot):
+    p = pilot("-rrr")       # no curve yet, and the first endpoint of the zone to return would get all
+    p.hear(("listed", ("update", ((0, 0, 0, 0, "ready", 4.0, p.now), (1, 0, 0, 0, "gone", 4.0, 0)))))
+    assert 0 < p.load(0) < 0.3
+
+
 @pytest.mark.parametrize("states", ["", "dddd", "gggg"])
 def test_nothing_to_bind_to_is_no_table(pilot, states):
     p = pilot(states)
@@ -199,6 +205,12 @@
     assert all(tries == 1 for _, tries in p.kept.levels.values())     # only after proof: no effect twice
 
 
+def test_levels_as_a_share(pilot):
+    p = pilot(service={"level_kind": "fraction"})
+    p.run(30, busy_fleet)
+    assert p.kept.levels and all(0 < v < 1 for (_, g), (v, _) in p.kept.levels.items() if g == 1)
+
+
 def test_late_answers_of_idle_endpoints_are_no_overload(pilot):
     p = pilot()
     p.run(30, lambda s: busy_fleet(s, report=(2,), flows=6))
