--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -25,8 +25,9 @@
 PACE_SPAN, PACE_LEAST, PACE_MOST = 12 * SECOND, 0.1, 2.0
 WORTH_LINES = 0.08                          # a table is staged when so much of its weight goes elsewhere
 LEVEL_MOVES = 0.1                           # a level is written again once it has moved by this part
-SHED_MISSES, CALM_MISSES = 0.15, 0.06       # of the tries: the estimate of capacity goes down, or up again
+SHED_MISSES, CALM_MISSES = 0.10, 0.06       # of the tries: the estimate of capacity goes down, or up again
 SHED_LEAST, TRUST = 0.9, 0.8                # least of what was carried in calm; trust in the first estimate
+SHED_DOWN, SHED_UP = 0.85, 1.07             # what a beat of misses or of calm makes of it
 KEPT_IN = 0.05                              # part of a group that is let in all the same, to be heard
 UNLIMITED = 1e6
 UNSEEN_UP, UNSEEN_DOWN, UNSEEN_MOST = 1.25, 0.93, 4.0       # how the guess at unheard demand moves
@@ -271,11 +272,10 @@
         self.met = Decaying(2 * SECOND, 2)                      # delivered, delivered x latency
         sized = provisioning.get("weights", "rough") != "none"
         self.work, self.trust = None, TRUST if sized else UNLIMITED     # least mean latency; misses on it
-        self.carried = 0.0                                      # the most that was carried in calm
+        self.carried = self.calm = 0.0                          # most carried, and in hand, in calm
         self.budget = min([g.get("latency_budget_us") or 10 * SECOND for g in self.groups], default=SECOND)
         columns = provisioning.get("telemetry", {}).get("columns", [])
         self.in_hand = columns.index("active") if "active" in columns else None
-        self.calm = 0.0
         self.loads, self.unseen = {}, [1.0] * self.zones  # load per weight; others to the guess
         self.now, self.begun, self.jammed, self.logged = 0, False, False, (False, [])
 
@@ -566,9 +566,9 @@
             self.calm = max(self.calm * 0.99, busy or 0.0)
         if calm or (busy is not None and busy <= self.calm):
             if needed > 0.9 * self.trust:   # a size in other units than flows shows before the first jam
-                self.trust *= 1.3 if not self.jammed and needed > 1.3 * self.trust else 1.05
+                self.trust *= 1.3 if not self.jammed and needed > 1.3 * self.trust else SHED_UP
         elif missed is not None and missed > SHED_MISSES and (busy is None or busy > 1.3 * self.calm + 0.1):
-            self.trust, self.jammed = max(SHED_LEAST * self.carried, min(self.trust, needed) * 0.9), True
+            self.trust, self.jammed = max(SHED_LEAST * self.carried, min(self.trust, needed) * SHED_DOWN), True
         return min(1.0, self.trust / needed)
 
     def plan_levels(self, allowed):
