--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -11,7 +11,7 @@
 SECOND = 1_000_000
 BEAT, STEP = 5 * SECOND // 2, SECOND // 4   # the solver's beat; the pace at which a zone is staged
 STAGE_PART = 0.1                            # of a zone's proxies at each step
-DEMAND_SPAN = 5 * SECOND // 2                # fades as old, on the mean, as what a window of 5 s holds
+DEMAND_SPAN = 5 * SECOND // 2               # fades as old, on the mean, as what a window of 5 s holds
 RAMP = 30 * SECOND
 TARGET, QUANTUM = 0.05, 0.01
 BOUND_TIMES, BOUND_HEARD = 3, 10 * SECOND   # the bound of a miss: times the median of the first while
