Count withdrawals against the message limit too

Change: withdrawals take the rest of the queue and of a proxy's messages but no more; one that finds no room is tried again each round.

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -30,6 +30,7 @@
 SHED_DOWN, SHED_UP = 0.85, 1.07             # what a beat of misses or of calm makes of it
 KEPT_IN = 0.05                              # part of a group that is let in all the same, to be heard
 UNLIMITED = 1e6
+WITHDRAWAL = 2                              # urgency of orders, after the ordinary and the urgent
 UNSEEN_UP, UNSEEN_DOWN, UNSEEN_MOST = 1.25, 0.93, 4.0       # how the guess at unheard demand moves
 COLD_LOAD, COLD_PART = 1.2, 0.7             # most load of a cold zone against the mean; so cold is cold
 
@@ -103,15 +104,14 @@
     def room(self, lines, proxies, urgent):
         """Whether so many lines to each of these proxies fit; the ordinary leaves half to the urgent."""
         asked = sum(v + self.head + 1 for v in self.round.values()) + len(proxies) * (lines + self.head + 1)
-        if self.waiting + asked > self.most * (0.9 if urgent else 0.45):
+        if self.waiting + asked > self.most * (0.45, 0.9, 1.0)[urgent]:
             return False
-        keep = 3 if urgent else max(3, round(self.messages * 0.4))     # the last ones are for withdrawals
-        few = self.messages - keep
-        return not self.messages or all(p in self.round or self.count(p) < few for p in proxies)
+        few = round(self.messages * (0.6, 0.75, 1.0)[urgent]) or 1e9     # the last ones are for withdrawals
+        return all(p in self.round or self.count(p) < few for p in proxies)
 
     def count(self, proxy):
         sent = self.sent.setdefault(proxy, deque())
-        while sent and sent[0] <= self.at - self.over:
+        while sent and sent[0] <= self.at - 1.05 * self.over:    # written after it is ordered
             sent.popleft()
         return len(sent)
 
@@ -266,8 +266,7 @@
         self.share = [[float(i == j) for j in range(self.zones)] for i in range(self.zones)]
         self.least = {}                                         # (from, to): latencies of the last second
         self.gap = [[0] * self.zones for _ in range(self.zones)]
-        self.first, self.bound, self.medians = None, None, []   # first latency heard; bound of a miss
-        self.next_beat = self.next_step = 0
+        self.first, self.bound, self.medians, self.next_beat = None, None, [], 0    # bound: of a miss
         self.ask_again, self.changed = int(provisioning.get("discovery") == "on_request"), False
         self.met = Decaying(2 * SECOND, 2)                      # delivered, delivered x latency
         sized = provisioning.get("weights", "rough") != "none"
@@ -474,7 +473,7 @@
         """Draining or gone is benched at once for every proxy, bound or not; what returns is let in again."""
         for e in self.endpoints.values():
             out = not self.open(e)
-            if out != e.benched and (out or self.channel.room(1, list(self.proxies), True)):
+            if out != e.benched and self.channel.room(1, list(self.proxies), WITHDRAWAL if out else True):
                 orders.bench(e.index, out)
                 e.benched = out
                 self.channel.charge(list(self.proxies), 1)
@@ -568,7 +567,8 @@
             if needed > 0.9 * self.trust:   # a size in other units than flows shows before the first jam
                 self.trust *= 1.3 if not self.jammed and needed > 1.3 * self.trust else SHED_UP
         elif missed is not None and missed > SHED_MISSES and (busy is None or busy > 1.3 * self.calm + 0.1):
-            self.trust, self.jammed = max(SHED_LEAST * self.carried, min(self.trust, needed) * SHED_DOWN), True
+            self.jammed, down = True, SHED_DOWN * min(self.trust, needed)
+            self.trust = max(SHED_LEAST * self.carried, down)
         return min(1.0, self.trust / needed)
 
     def plan_levels(self, allowed):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -66,16 +66,30 @@
                        "counted_over_us": 10 * SECOND, "late_most_us": SECOND})
     kept = type("Marks", (), {"mark": lambda self, number: None})()
     assert not channel.room(60, [1], False) and channel.room(60, [1], True) and not channel.room(90, [1], True)
-    for n in range(3):
+    for n in range(4):
         assert channel.room(1, [1], True)
         channel.charge([1], 1)
         channel.settle(n * SECOND, kept)
         channel.drain((n + 1) * SECOND)
     assert not channel.room(1, [1], True)               # what is left of the six is for withdrawals
+    assert channel.room(1, [1], 2)
     channel.drain(30 * SECOND)
     assert channel.room(1, [1], True)
 
 
+def test_withdrawals_keep_to_the_messages_of_a_proxy_too(pilot):
+    p = pilot("rrrr", service={"messages_most": 6, "counted_over_us": 10 * SECOND})
+    times = []
+    for n in range(40):     # a flapping list: each change would be a message of its own
+        p.now += SECOND // 4
+        before = list(p.controller.channel.sent.get(0, ()))
+        p.hear(listed("drrr" if n % 2 else "rrrr", how="update"))
+        times += [p.now] * (list(p.controller.channel.sent[0])[-1:] != before[-1:])
+    assert 3 <= len(times) <= 6
+    p.run(12)
+    assert p.kept.out == {0}
+
+
 def test_channel_learns_a_slow_pace_from_its_acks():
     channel = Channel({"lines_per_s": 1000.0, "envelope": 3.0, "most_waiting": 2000, "late_most_us": SECOND // 2})
     channel.charge(range(20), 46)
