Parts of a zone's endpoints, a shared table each; unheard demand from what is usual

A zone's endpoints fall into parts of three or more, a table for each with six proxies or more; what a part lacks is carried by the others (spread). A shift of demand was read as growth of the others' (their share was taken from own demand); it is now what is usual. The cap on cold zones became a curve for the solver; refusing no longer goes under what was carried in calm.

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -9,30 +9,24 @@
 from math import exp, log
 
 SECOND = 1_000_000
-BEAT, STEP = 5 * SECOND // 2, SECOND // 4   # the solver's beat; the pace at which a zone is staged
-STAGE_PART = 0.1                            # of a zone's proxies at each step
+BEAT, STEP, STAGE_PART = 5 * SECOND // 2, SECOND // 4, 0.1      # the solver's beat; steps of a staging
 DEMAND_SPAN = 5 * SECOND // 2               # fades as old, on the mean, as what a window of 5 s holds
-RAMP = 30 * SECOND
 TARGET, QUANTUM = 0.05, 0.01
 BOUND_TIMES, BOUND_HEARD = 3, 10 * SECOND   # the bound of a miss: times the median of the first while
-GAP_MOVES = 1000                            # a gap shifts a curve once it has moved by more than this
-BUCKET = 0.12                               # width of a curve's bucket, in the logarithm of demand per weight
-CURVE_SPAN = 25 * SECOND                    # how long a curve remembers
-POOLED = 0.15                               # part that the other zones' points have in a zone's curve
-STEEP = 0.6                                 # rise of misses beyond what was seen, per doubling of the demand
+RAMP, GAP_MOVES = 30 * SECOND, 1000         # of a new endpoint; what a gap must move to shift a curve
+BUCKET, CURVE_SPAN = 0.12, 25 * SECOND      # of a curve: width, in the logarithm of demand per weight; memory
+POOLED, STEEP = 0.15, 0.6                   # others' points in a curve; rise beyond them, per doubling
 MARGIN = 1.2                                # demand may rise by so much before the next tables are in force
 HEALTH_SPAN, HEALTH_PRIOR, FADED = 6 * SECOND, 3.0, 0.02
 PACE_SPAN, PACE_LEAST, PACE_MOST = 12 * SECOND, 0.1, 2.0
-WORTH_LINES = 0.08                          # a table is staged when so much of its weight goes elsewhere
-LEVEL_MOVES = 0.1                           # a level is written again once it has moved by this part
+WORTH_LINES, LEVEL_MOVES = 0.08, 0.1        # parts that must have moved for a table or a level to be sent
 SHED_MISSES, CALM_MISSES = 0.10, 0.06       # of the tries: the estimate of capacity goes down, or up again
-SHED_LEAST, TRUST = 0.9, 0.8                # least of what was carried in calm; trust in the first estimate
-SHED_DOWN, SHED_UP = 0.85, 1.07             # what a beat of misses or of calm makes of it
-KEPT_IN = 0.05                              # part of a group that is let in all the same, to be heard
-UNLIMITED = 1e6
-WITHDRAWAL = 2                              # urgency of orders, after the ordinary and the urgent
-UNSEEN_UP, UNSEEN_DOWN, UNSEEN_MOST = 1.25, 0.93, 4.0       # how the guess at unheard demand moves
 COLD_LOAD, COLD_PART = 1.2, 0.7             # most load of a cold zone against the mean; so cold is cold
+SHED_DOWN, SHED_UP = 0.85, 1.1              # what a beat of misses or of calm makes of it
+KEPT_IN, TRUST = 0.05, 0.8                  # part of a group let in to be heard; trust in the first capacity
+UNLIMITED, WITHDRAWAL = 1e6, 2              # a level; the urgency after the ordinary and the urgent
+PART_ENDPOINTS, PART_PROXIES = 3, 6         # least of a zone's endpoints, and of its proxies, to a table
+SLACK = 0.2                                 # a part of a zone's endpoints takes so much over its due
 
 
 class Decaying:
@@ -56,7 +50,7 @@
 
     def __init__(self, index, start):
         self.index, self.zone, self.kind, self.state = index, 0, 0, "unknown"
-        self.weight, self.start, self.benched = 1.0, start, False
+        self.weight, self.start, self.benched, self.order = 1.0, start, False, None
         self.forget()
 
     def forget(self):
@@ -68,13 +62,12 @@
     def fade(self, now):
         """Share of tries that come to something; never 0, and it returns as the evidence fades."""
         tries, dropped = self.tries.read(now)
-        good = (tries - dropped + HEALTH_PRIOR) / (tries + HEALTH_PRIOR)
-        return max(FADED, good)
+        return max(FADED, (tries - dropped + HEALTH_PRIOR) / (tries + HEALTH_PRIOR))
 
 
 class Proxy:
     def __init__(self, zone, usual, groups):
-        self.zone, self.usual, self.table = zone, usual, None
+        self.zone, self.usual, self.table, self.part = zone, usual, None, None
         self.flows = [Decaying(DEMAND_SPAN, 2) for _ in range(groups)]   # flows, seconds counted
 
     def demand(self, now):
@@ -248,6 +241,25 @@
     return None
 
 
+def spread(needs, strengths):
+    """Which part of a zone's endpoints carries each table's flows: its own, then what others have to spare.
+
+    Guards against proxies that each open connections to a whole zone, and against a part that has failed, is
+    cold or meets a heavy proxy: the more it lacks, the more of its table lies elsewhere. Rows sum to 1."""
+    spare = [(1 + SLACK) * s / sum(strengths) for s in strengths]
+    needs, rows = [d / (sum(needs) or 1) for d in needs], []
+    for own, need in enumerate(needs):
+        rows.append([min(need, spare[own]) if own == b else 0.0 for b in range(len(spare))])
+        spare[own] -= rows[own][own]
+    for row, need in zip(rows, needs):
+        while need - sum(row) > 1e-9:
+            b = max(range(len(spare)), key=spare.__getitem__)
+            more = min(need - sum(row), max(spare[b], 1e-6))
+            row[b], spare[b] = row[b] + more, spare[b] - more
+    even = [s / sum(strengths) for s in strengths]
+    return [[x / need for x in row] if need else even for row, need in zip(rows, needs)]
+
+
 def median(values, default=None):
     values = sorted(values)
     return values[len(values) // 2] if values else default
@@ -255,6 +267,7 @@
 
 class Controller:
     def __init__(self, provisioning, seed):
+        self.provisioning = provisioning
         self.service, self.rules = provisioning.get("service", {}), provisioning.get("rules", {})
         self.groups = provisioning.get("traffic_groups", [])
         self.zones = max(1, len(provisioning.get("zones", [])))
@@ -262,9 +275,9 @@
         self.channel = Channel(self.service)
         self.endpoints, self.proxies, self.lines, self.levels = {}, {}, {}, {}
         self.curves = [Curve() for _ in range(self.zones)]
-        self.current = [2 * z for z in range(self.zones)]       # the table that a zone's proxies are led to
+        self.parts, self.current = [0] * self.zones, {}     # (zone, part): the table that proxies are led to
         self.share = [[float(i == j) for j in range(self.zones)] for i in range(self.zones)]
-        self.least = {}                                         # (from, to): latencies of the last second
+        self.least, self.loads = {}, {}     # latencies of the last second by (from, to); demand per weight
         self.gap = [[0] * self.zones for _ in range(self.zones)]
         self.first, self.bound, self.medians, self.next_beat = None, None, [], 0    # bound: of a miss
         self.ask_again, self.changed = int(provisioning.get("discovery") == "on_request"), False
@@ -275,8 +288,7 @@
         self.budget = min([g.get("latency_budget_us") or 10 * SECOND for g in self.groups], default=SECOND)
         columns = provisioning.get("telemetry", {}).get("columns", [])
         self.in_hand = columns.index("active") if "active" in columns else None
-        self.loads, self.unseen = {}, [1.0] * self.zones  # load per weight; others to the guess
-        self.now, self.begun, self.jammed, self.logged = 0, False, False, (False, [])
+        self.now, self.begun, self.logged = 0, False, (False, [])
 
     # --- the news ---
 
@@ -290,6 +302,9 @@
                 e.start, self.changed = start, True
                 e.forget()
             seen.add(index)
+            if e.order is None:         # a successor takes the place of one that has gone
+                taken = {o.order for o in self.endpoints.values() if o.zone == zone and o.state != "gone"}
+                e.order = next(n for n in range(len(taken) + 1) if n not in taken)
             e.zone, e.kind, e.weight = min(zone, self.zones - 1), kind, max(weight, 1e-3)
             if e.state != state:
                 e.state, self.changed = state, True
@@ -367,53 +382,31 @@
     def strengths(self):
         """For each zone: endpoint -> weight by list, ramp, fading failures and measured pace."""
         out = [{} for _ in range(self.zones)]
-        mean = {}
-        for e in self.endpoints.values():
-            n, total = e.latency.read(self.now)
-            if n > 2:
-                mean[e.index] = total / n
+        heard = [(e, *e.latency.read(self.now)) for e in self.endpoints.values()]
+        mean = {e: total / n for e, n, total in heard if n > 2}
+        usual = [median([v for e, v in mean.items() if e.zone == z]) for z in range(self.zones)]
+        kin = {k: median([v for e, v in mean.items() if e.kind == k]) for k in {e.kind for e in mean}}
         for e in self.usable():
-            usual = median([v for o, v in mean.items() if self.endpoints[o].zone == e.zone])
-            pace = 1.0
-            if usual:
-                kin = [v for o, v in mean.items() if self.endpoints[o].kind == e.kind]
-                took = mean.get(e.index) or median(kin, usual)
-                pace = min(PACE_MOST, max(PACE_LEAST, (usual / took) ** 1.0))
+            took, middle = mean.get(e) or kin.get(e.kind), usual[e.zone]
+            pace = min(PACE_MOST, max(PACE_LEAST, middle / took)) if took and middle else 1.0
             out[e.zone][e.index] = e.weight * self.ramp(e) * e.fade(self.now) * pace
         return out
 
     def demands(self):
         """Flows a second by zone: of the own proxies, and estimated for those that join other pilots too."""
-        own, count, each = [0.0] * self.zones, [0] * self.zones, []
+        own, count = [0.0] * self.zones, [0] * self.zones
         for p in self.proxies.values():
-            asked = p.demand(self.now)
-            each.append(p.usual if asked is None else sum(asked))
-            own[p.zone] += each[-1]
+            own[p.zone] += sum(p.demand(self.now) or [p.usual])
             count[p.zone] += 1
         unseen = max(0, self.service.get("proxy_count", 0) - len(self.proxies))
         if not unseen or not self.proxies:
             return own, own
-        zoned = self.service.get("by_zone")     # then whole zones are unheard, and a few proxies carry most
-        expected = self.service["proxy_count"] / self.zones
+        zoned = self.service.get("by_zone")     # whole zones are unheard then, and only what is usual counts:
+        expected = self.service["proxy_count"] / self.zones     # own demand may have come from there
         lack = [max(0.0, expected - c) if zoned else 1.0 for c in count]
-        scale = unseen * (median(each) if zoned else sum(each) / len(each)) / max(sum(lack), 1e-9)
-        heard = [(e, *e.busy.read(self.now)) for e in self.endpoints.values()]
-        heard = [x for x in heard if x[1] > 0.2]
-        if heard and not zoned:     # reports show all flows in hand: rate x latency is this pilot's part
-            span = PACE_SPAN * (1 - exp((self.first - self.now - SECOND) / PACE_SPAN))
-            held = sum(e.latency.read(self.now)[1] for e, _, _ in heard) / span
-            seen = sum(load / n * e.weight for e, n, load in heard)
-            scale = min(scale, max(0.0, seen / max(held, 1e-9) - 1) * sum(own) / sum(lack))
-        return own, [o + scale * k * u for o, k, u in zip(own, lack, self.unseen)]
-
-    def learn_unseen(self):
-        """What others send to a zone shows in what this pilot's own flows meet there."""
-        for z in range(self.zones):
-            sums = [e.misses.read(self.now) for e in self.usable() if e.zone == z]
-            tries, missed = sum(t for t, _ in sums), sum(m for _, m in sums)
-            if tries > 3 and not any(p.zone == z for p in self.proxies.values()):
-                moved = self.unseen[z] * (UNSEEN_UP if missed > 2 * TARGET * tries else UNSEEN_DOWN)
-                self.unseen[z] = min(UNSEEN_MOST, max(1 / UNSEEN_MOST, moved))
+        each = sum(p.usual for p in self.proxies.values()) if zoned else sum(own)
+        scale = unseen * each / len(self.proxies) / max(sum(lack), 1e-9)
+        return own, [o + scale * k for o, k in zip(own, lack)]
 
     def gaps(self):
         """Cross-zone gap in one-second minimum latency; small moves don't touch the curves."""
@@ -426,18 +419,47 @@
 
     # --- tables ---
 
+    def target(self, proxy):
+        return self.current.get((proxy.zone, proxy.part))
+
     def users(self, table):
         return [i for i, p in self.proxies.items() if p.table == table]
 
-    def wanted(self, zone, strengths, share):
-        """The lines of a zone's table: local endpoints carry the kept part, receivers the spilled."""
-        out = {}
+    def deal(self):
+        """New proxies go to that table of their zone which has least to carry."""
+        needs = self.needs()
+        for p in sorted((p for p in self.proxies.values() if p.part is None), key=lambda p: -p.usual):
+            p.part = min(range(len(needs[p.zone])), key=needs[p.zone].__getitem__)
+            needs[p.zone][p.part] += p.usual
+
+    def needs(self):
+        """Flows a second by zone and table."""
+        pilots = 1 if self.service.get("by_zone") else max(1, self.provisioning.get("pilots", 1))
+        proxies = max(self.service.get("proxy_count", 0) / pilots, len(self.proxies)) / self.zones
+        for z in range(self.zones):
+            here = sum(e.zone == z for e in self.usable())
+            most = int(min(here // PART_ENDPOINTS, proxies // PART_PROXIES))
+            self.parts[z] = self.parts[z] or (max(1, most) if here else 0)
+        needs = [[0.0] * (n or 1) for n in self.parts]
+        for p in self.proxies.values():
+            if p.part is not None:
+                needs[p.zone][p.part] += sum(p.demand(self.now) or [p.usual])
+        return needs
+
+    def wanted(self, zone, strengths, needs):
+        """The lines of a zone's tables: local endpoints carry the kept part, receivers the spilled."""
+        tables = [{} for _ in needs]
         for j in range(self.zones):
-            total = sum(strengths[j].values())
-            if share[zone][j] > 0 and total > 0:
-                for index, s in strengths[j].items():
-                    out[index] = max(0.01, round(1000 * share[zone][j] * s / total, 2))
-        return out
+            bins = [{} for _ in needs]
+            for index, s in strengths[j].items():
+                bins[self.endpoints[index].order % len(needs)][index] = s
+            sums = [sum(b.values()) for b in bins]
+            rows = spread(needs, sums) if self.share[zone][j] > 0 and any(sums) else ()
+            for table, row in zip(tables, rows):
+                for part, held, total in zip(row, bins, sums):
+                    for index, s in held.items() if part else ():
+                        table[index] = max(0.01, round(1000 * self.share[zone][j] * part * s / total, 2))
+        return tables
 
     def write(self, table, lines, orders, urgent):
         """Turns a table into `lines`, charging every proxy on it; an empty table is never written."""
@@ -481,68 +503,50 @@
     def plan(self, orders, urgent):
         """One beat of the design: curves, spill, tables. Urgent: the tables in use are changed in place."""
         strengths = self.strengths()
-        if not urgent:
-            self.learn_unseen()
         own, demand = self.demands()
-        capacity = [0.0] * self.zones
-        usable = self.usable()
+        capacity, listed, usable = [0.0] * self.zones, [0.0] * self.zones, self.usable()
         usual = [median([e.fade(self.now) for e in usable if e.zone == z], 1.0) for z in range(self.zones)]
         for e in usable:
             capacity[e.zone] += e.weight * self.ramp(e) * min(1.0, e.fade(self.now) / usual[e.zone])
+            listed[e.zone] += e.weight
         part = self.let_in(sum(sum(s.values()) for s in strengths), sum(demand), not urgent)
         demand = [d * part for d in demand]
-        fits = [Curve.fit(self.now, c, [o for o in self.curves if o is not c]) or None for c in self.curves]
+        # against a zone that is back cold and has no curve, as after a restart: it keeps about the mean load
+        cold = any(0 < c < COLD_PART * w for c, w in zip(capacity, listed))
+        mean = [(COLD_LOAD * sum(demand) / sum(capacity), 0.0)] if cold and sum(demand) else None
+        fits = [Curve.fit(self.now, c, [o for o in self.curves if o is not c]) or mean for c in self.curves]
         self.gaps()
         stretch = [[1 / max(0.2, 1 - gap / (self.bound or 1e9)) for gap in row] for row in self.gap]
         self.share = solve_spill(demand, capacity, fits, stretch)
-        self.spare_cold(demand, capacity)
         loads = [sum(d * row[j] for d, row in zip(demand, self.share)) for j in range(self.zones)]
         self.loads = {j: load / capacity[j] for j, load in enumerate(loads) if capacity[j] > 0 and load > 0}
         levels = self.plan_levels(part * sum(own))
-        sends = [z for z in range(self.zones) if demand[z] and self.share[z][z] < 0.9]
-        if (bool(levels), sends) != self.logged and not urgent:     # a change of state, at most once a beat
-            self.logged = bool(levels), sends
-            refused = 100 - 100 * part if levels else 0
-            orders.log(f"refusing {refused:.0f}% of flows; zones spilling over 10%: {sends}")
+        state = bool(levels), [z for z in range(self.zones) if demand[z] and self.share[z][z] < 0.9]
+        if state != self.logged and not urgent:     # at most once a beat
+            self.logged = state
+            orders.log(f"refusing {100 - 100 * part:.0f}% of flows; zones spilling over 10%: {state[1]}")
         for table in list(self.lines):
             self.write_levels(table, levels, orders)
-        for zone in range(self.zones):
-            lines = self.wanted(zone, strengths, self.share)
-            if not lines:
-                continue
-            table = self.current[zone]
-            if urgent or not self.lines.get(table):
-                self.write(table, lines, orders, True)
-                self.write(table ^ 1, lines, orders, True)
-                continue
-            if self.users(table ^ 1):
-                continue        # the last staging is not over: two splits would clash
-            had = self.lines[table]
+        needs = self.needs()
+        for zone in sorted({p.zone for p in self.proxies.values()}):
+            for n, lines in enumerate(self.wanted(zone, strengths, needs[zone])):
+                if lines:
+                    self.renew((zone, n), lines, levels, orders, urgent)
+
+    def renew(self, place, lines, levels, orders, urgent):
+        table = self.current.setdefault(place, 2 * (place[0] + self.zones * place[1]))
+        had, old = self.lines.get(table), self.users(table ^ 1)
+        if urgent or not had:
+            for t in (table, table ^ 1) if old else (table,):
+                self.write(t, lines, orders, True)
+        elif not old:           # else the last staging is not over: two splits would clash
             moved = sum(abs(lines.get(k, 0) - had.get(k, 0)) for k in set(lines) | set(had)) / 2000
             if moved >= WORTH_LINES:
                 orders.clear(table ^ 1)
                 self.lines[table ^ 1], self.levels[table ^ 1] = {}, {}
                 self.write_levels(table ^ 1, levels, orders)
                 self.write(table ^ 1, lines, orders, False)
-                self.current[zone] = table ^ 1
-
-    def spare_cold(self, demand, capacity):
-        """Holds zones that are cold to little more than the mean load: a budget over all pilots' flows.
-
-        Guards against a zone that comes back cold without a curve, as after a restart. Costs spill."""
-        full, zones = sum(capacity), range(self.zones)
-        for j in zones:
-            listed = sum(e.weight for e in self.usable() if e.zone == j)
-            load = sum(demand[i] * self.share[i][j] for i in zones)
-            most = COLD_LOAD * sum(demand) / full * capacity[j] if full else 0.0
-            if not 0 < capacity[j] < COLD_PART * listed or load <= most or capacity[j] == full:
-                continue
-            for i in zones:
-                spared = self.share[i][j] * (1 - most / load)
-                self.share[i][j] -= spared
-                for k in zones:
-                    if k != j:
-                        self.share[i][k] += spared * capacity[k] / (full - capacity[j])
+                self.current[place] = table ^ 1
 
     def let_in(self, strength, demand, learn):
         """Part of the demand that endpoints can do: weight over the time a flow takes, corrected by misses.
@@ -557,18 +561,17 @@
         if not learn:
             return min(1.0, self.trust / needed)
         sums = [(*e.misses.read(self.now), *e.busy.read(self.now)) for e in self.usable()]
-        missed = median([m / t for t, m, _, _ in sums if t > 1])    # of the middle: a hang is no overload
+        missed = median([m / t for t, m, _, _ in sums if t > 1], CALM_MISSES)    # a hang is no overload
         busy = median([load / n for _, _, n, load in sums if n > 0.2])
-        calm = missed is not None and missed < CALM_MISSES
+        calm = missed < CALM_MISSES
         if calm:
             self.carried = max(self.carried * 0.995, min(needed, self.trust))
             self.calm = max(self.calm * 0.99, busy or 0.0)
         if calm or (busy is not None and busy <= self.calm):
-            if needed > 0.9 * self.trust:   # a size in other units than flows shows before the first jam
-                self.trust *= 1.3 if not self.jammed and needed > 1.3 * self.trust else SHED_UP
-        elif missed is not None and missed > SHED_MISSES and (busy is None or busy > 1.3 * self.calm + 0.1):
-            self.jammed, down = True, SHED_DOWN * min(self.trust, needed)
-            self.trust = max(SHED_LEAST * self.carried, down)
+            if needed > 0.9 * self.trust:
+                self.trust *= SHED_UP
+        elif missed > SHED_MISSES and (busy is None or busy > 1.3 * self.calm + 0.1):
+            self.trust = max(self.carried, SHED_DOWN * min(self.trust, needed))
         return min(1.0, self.trust / needed)
 
     def plan_levels(self, allowed):
@@ -601,11 +604,10 @@
         """A tenth of each zone's proxies goes over to the zone's new table."""
         for zone in range(self.zones):
             here = [i for i, p in self.proxies.items() if p.zone == zone]
-            late = [i for i in here if self.proxies[i].table not in (None, self.current[zone])]
+            late = [i for i in here if self.proxies[i].table not in (None, self.target(self.proxies[i]))]
             left = max(1, round(len(here) * STAGE_PART))
             for i in self.chance.sample(late, len(late)):
-                if left and self.bind(i, self.current[zone], orders, False):
-                    left -= 1
+                left -= left > 0 and self.bind(i, self.target(self.proxies[i]), orders, False)
 
     def round(self, now, news, orders):
         first = not self.next_beat
@@ -620,12 +622,14 @@
             orders.observe(True)
             self.ask_again = now + 5 * SECOND
         self.follow_list(orders)
-        if first or self.changed:
+        new = [i for i, p in self.proxies.items() if p.table is None]
+        if any(self.proxies[i].part is None for i in new):
+            self.deal()
+        if first or self.changed or any(self.target(self.proxies[i]) is None for i in new):
             self.plan(orders, True)
             self.changed = False
-        for i, p in self.proxies.items():
-            if p.table is None:
-                self.bind(i, self.current[p.zone], orders, True)
+        for i in new:
+            self.bind(i, self.target(self.proxies[i]), orders, True)
         if self.proxies and not self.loads:     # what is heard before the first beat belongs to this load
             self.plan(orders, True)
         if self.first and not self.begun and now - self.first > SECOND // 4:
