A zone that fails whole loses capacity and teaches its curve little

Cause: capacity was taken against the zone's own middle endpoint, so a lost zone kept it all; its misses stood in its curve, and by pooling in every zone's. Capacity now counts failures as they are, and a curve learns from an endpoint by as much as it has not faded.

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -347,7 +347,8 @@
         if zone == e.zone and zone in self.loads:
             # a report gives a mean: near the bound part of its tries miss; steps would show it too late
             soft = dropped + (delivered * min(1.0, latency / self.bound) ** 4 if self.bound else 0)
-            self.curves[zone].add(now, self.loads[zone], tries, soft)
+            part = e.fade(now)      # what fails by itself says little of the load
+            self.curves[zone].add(now, self.loads[zone], part * tries, part * soft)
 
     def asked(self, proxy, group, flows, unanswered, window):
         p = self.proxies.get(proxy)
@@ -505,9 +506,8 @@
         strengths = self.strengths()
         own, demand = self.demands()
         capacity, listed, usable = [0.0] * self.zones, [0.0] * self.zones, self.usable()
-        usual = [median([e.fade(self.now) for e in usable if e.zone == z], 1.0) for z in range(self.zones)]
         for e in usable:
-            capacity[e.zone] += e.weight * self.ramp(e) * min(1.0, e.fade(self.now) / usual[e.zone])
+            capacity[e.zone] += e.weight * self.ramp(e) * e.fade(self.now)
             listed[e.zone] += e.weight
         part = self.let_in(sum(sum(s.values()) for s in strengths), sum(demand), not urgent)
         demand = [d * part for d in demand]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -298,3 +298,13 @@
         p.run(20, busy_fleet)
         runs.append((p.kept.tables, p.kept.levels, p.kept.bound, p.kept.calls))
     assert runs[0] == runs[1]
+
+
+def test_a_zone_that_fails_whole_is_short_of_capacity_and_teaches_its_curve_little(pilot):
+    p = pilot(proxies=2)
+    answers = [met(0, i) for i in (0, 1)]
+    p.run(10, lambda s: answers)
+    p.run(8, lambda s: [met(0, i, tries=20, dropped=20) for i in (0, 1)])
+    assert p.load(2) + p.load(3) > 0.4                  # its flows go where no failure was heard of
+    at = p.controller.curves[0].buckets
+    assert sum(d.read(p.now)[1] for d in at.values()) < 0.5 * sum(d.read(p.now)[0] for d in at.values())
