--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -97,7 +97,7 @@
     def room(self, lines, proxies, urgent):
         """Whether so many lines to each of these proxies fit; the ordinary leaves half to the urgent."""
         asked = sum(v + self.head + 1 for v in self.round.values()) + len(proxies) * (lines + self.head + 1)
-        if self.waiting + asked > self.most * (0.45, 0.9, 1.0)[urgent]:
+        if self.waiting + asked > self.most * (0.45, 0.75, 0.92)[urgent]:
             return False
         few = round(self.messages * (0.6, 0.75, 1.0)[urgent]) or 1e9     # the last ones are for withdrawals
         return all(p in self.round or self.count(p) < few for p in proxies)
