--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -9,11 +9,11 @@
 from math import exp, log
 
 SECOND = 1_000_000
-BEAT, STEP, STAGE_PART = 5 * SECOND // 2, SECOND // 4, 0.1      # the solver's beat; steps of a staging
+BEAT, STEP, STAGE_PART = 5 * SECOND // 2, SECOND // 4, 0.2      # the solver's beat; steps of a staging
 DEMAND_SPAN = 5 * SECOND // 2               # fades as old, on the mean, as what a window of 5 s holds
-TARGET, QUANTUM = 0.05, 0.01
+TARGET, QUANTUM, GAP_MOVES = 0.05, 0.01, 1000    # of misses; of demand; what a gap must move to count
 BOUND_TIMES, BOUND_HEARD = 3, 10 * SECOND   # the bound of a miss: times the median of the first while
-RAMP, GAP_MOVES = 30 * SECOND, 1000         # of a new endpoint; what a gap must move to shift a curve
+RAMP, RETURN = 30 * SECOND, 10 * SECOND     # of a new endpoint; within which a zone that was lost returns
 BUCKET, CURVE_SPAN = 0.12, 25 * SECOND      # of a curve: width, in the logarithm of demand per weight; memory
 POOLED, STEEP = 0.15, 0.6                   # others' points in a curve; rise beyond them, per doubling
 MARGIN = 1.2                                # demand may rise by so much before the next tables are in force
@@ -24,7 +24,7 @@
 COLD_LOAD, COLD_PART = 1.2, 0.7             # most load of a cold zone against the mean; so cold is cold
 SHED_DOWN, SHED_UP = 0.85, 1.1              # what a beat of misses or of calm makes of it
 KEPT_IN, TRUST = 0.05, 0.8                  # part of a group let in to be heard; trust in the first capacity
-UNLIMITED, WITHDRAWAL = 1e6, 2              # a level; the urgency after the ordinary and the urgent
+UNLIMITED, NEEDED, WITHDRAWAL = 1e6, 2, 3   # a level; urgency of tables after a drain or a start, of drains
 PART_ENDPOINTS, PART_PROXIES = 3, 6         # least of a zone's endpoints, and of its proxies, to a table
 SLACK = 0.2                                 # a part of a zone's endpoints takes so much over its due
 
@@ -51,10 +51,10 @@
     def __init__(self, index, start):
         self.index, self.zone, self.kind, self.state = index, 0, 0, "unknown"
         self.weight, self.start, self.benched, self.order = 1.0, start, False, None
+        self.tries = Decaying(HEALTH_SPAN, 2)       # tries, dropped; over a restart too: see `fade`
         self.forget()
 
     def forget(self):
-        self.tries = Decaying(HEALTH_SPAN, 2)       # tries, dropped
         self.misses = Decaying(2 * SECOND, 2)       # tries, missed
         self.busy = Decaying(2 * SECOND, 2)         # reports, load reported for each weight
         self.latency = Decaying(PACE_SPAN, 2)       # delivered, delivered x latency
@@ -96,10 +96,11 @@
 
     def room(self, lines, proxies, urgent):
         """Whether so many lines to each of these proxies fit; the ordinary leaves half to the urgent."""
-        asked = sum(v + self.head + 1 for v in self.round.values()) + len(proxies) * (lines + self.head + 1)
-        if self.waiting + asked > self.most * (0.45, 0.75, 0.92)[urgent]:
+        heads = len(self.round) + sum(p not in self.round for p in proxies)
+        asked = sum(self.round.values()) + len(proxies) * lines + heads * (self.head + 1)
+        if self.waiting + asked > self.most * (0.45, 0.75, 0.85, 0.92)[urgent]:
             return False
-        few = round(self.messages * (0.6, 0.75, 1.0)[urgent]) or 1e9     # the last ones are for withdrawals
+        few = round(self.messages * (0.6, 0.7, 0.8, 1.0)[urgent]) or 1e9   # the last for withdrawals
         return all(p in self.round or self.count(p) < few for p in proxies)
 
     def count(self, proxy):
@@ -273,22 +274,21 @@
         self.zones = max(1, len(provisioning.get("zones", [])))
         self.chance = random.Random(seed)
         self.channel = Channel(self.service)
-        self.endpoints, self.proxies, self.lines, self.levels = {}, {}, {}, {}
+        self.endpoints, self.proxies, self.lines, self.levels, self.logged = {}, {}, {}, {}, (False, [])
         self.curves = [Curve() for _ in range(self.zones)]
         self.parts, self.current = [0] * self.zones, {}     # (zone, part): the table that proxies are led to
         self.share = [[float(i == j) for j in range(self.zones)] for i in range(self.zones)]
         self.least, self.loads = {}, {}     # latencies of the last second by (from, to); demand per weight
         self.gap = [[0] * self.zones for _ in range(self.zones)]
-        self.first, self.bound, self.medians, self.next_beat = None, None, [], 0    # bound: of a miss
-        self.ask_again, self.changed = int(provisioning.get("discovery") == "on_request"), False
+        self.first, self.bound, self.medians, self.work = 0, None, [], None    # bound: of a miss
+        self.ask_again = int(provisioning.get("discovery") == "on_request")
         self.met = Decaying(2 * SECOND, 2)                      # delivered, delivered x latency
-        sized = provisioning.get("weights", "rough") != "none"
-        self.work, self.trust = None, TRUST if sized else UNLIMITED     # least mean latency; misses on it
+        self.trust = UNLIMITED if provisioning.get("weights") == "none" else TRUST     # in weight over it
         self.carried = self.calm = 0.0                          # most carried, and in hand, in calm
         self.budget = min([g.get("latency_budget_us") or 10 * SECOND for g in self.groups], default=SECOND)
         columns = provisioning.get("telemetry", {}).get("columns", [])
         self.in_hand = columns.index("active") if "active" in columns else None
-        self.now, self.begun, self.logged = 0, False, (False, [])
+        self.now = self.next_beat = self.next_step = self.held = self.changed = 0
 
     # --- the news ---
 
@@ -299,7 +299,7 @@
             if e is None:
                 e = self.endpoints[index] = Endpoint(index, start)
             if start > e.start:         # another process: what was heard of the old one says nothing
-                e.start, self.changed = start, True
+                e.start, self.changed = start, NEEDED
                 e.forget()
             seen.add(index)
             if e.order is None:         # a successor takes the place of one that has gone
@@ -307,11 +307,11 @@
                 e.order = next(n for n in range(len(taken) + 1) if n not in taken)
             e.zone, e.kind, e.weight = min(zone, self.zones - 1), kind, max(weight, 1e-3)
             if e.state != state:
-                e.state, self.changed = state, True
+                e.state, self.changed = state, self.changed or 1
         if how != "update":
             for e in self.endpoints.values():
                 if e.index not in seen and e.state != "gone":
-                    e.state, self.changed = "gone", True
+                    e.state, self.changed = "gone", self.changed or 1
         self.ask_again = self.ask_again if how == "restored" else 0
 
     def list_failed(self):
@@ -332,13 +332,13 @@
         dropped = min(max(dropped, 0), tries)
         delivered = tries - dropped
         e.tries.add(now, tries, dropped)
-        if self.in_hand is not None and self.in_hand < len(report):
+        if self.in_hand is not None and len(report) > self.in_hand:
             e.busy.add(now, 1.0, report[self.in_hand] / e.weight)
         if delivered and latency > 0:
             e.latency.add(now, delivered, delivered * latency)
             self.least.setdefault((zone, e.zone), []).append((now, latency))
-            if self.first is None:
-                self.first = now
+            if not self.first:      # the first beat comes as soon as zones can be told apart
+                self.first, self.next_beat = now, now + SECOND // 4
             if now - self.first <= BOUND_HEARD:
                 self.medians.append(latency)
                 self.bound = min(BOUND_TIMES * median(self.medians), self.budget)
@@ -383,8 +383,7 @@
     def strengths(self):
         """For each zone: endpoint -> weight by list, ramp, fading failures and measured pace."""
         out = [{} for _ in range(self.zones)]
-        heard = [(e, *e.latency.read(self.now)) for e in self.endpoints.values()]
-        mean = {e: total / n for e, n, total in heard if n > 2}
+        mean = {e: t / n for e in self.endpoints.values() for n, t in [e.latency.read(self.now)] if n > 2}
         usual = [median([v for e, v in mean.items() if e.zone == z]) for z in range(self.zones)]
         kin = {k: median([v for e, v in mean.items() if e.kind == k]) for k in {e.kind for e in mean}}
         for e in self.usable():
@@ -470,6 +469,7 @@
         old = [k for k in had if k not in lines]
         cost = len(new) + len(old)
         if users and not self.channel.room(cost, users, urgent):
+            self.held = max(self.held, urgent)
             return
         for k, w in new:        # first what comes, then what goes: the table has a line at every moment
             orders.line(table, k, w)
@@ -481,8 +481,7 @@
 
     def bind(self, index, table, orders, urgent):
         lines = self.lines.get(table)
-        out = sum(e.benched for e in self.endpoints.values())
-        cost = 1 + len(lines or ()) + len(self.levels.get(table, ())) + out
+        cost = 1 + len(self.levels.get(table, ())) + sum(1 + self.endpoints[k].benched for k in lines or ())
         if not lines or not self.channel.room(cost, [index], urgent):
             return False
         orders.bind(index, table)
@@ -494,15 +493,23 @@
 
     def follow_list(self, orders):
         """Draining or gone is benched at once for every proxy, bound or not; what returns is let in again."""
-        for e in self.endpoints.values():
-            out = not self.open(e)
-            if out != e.benched and self.channel.room(1, list(self.proxies), WITHDRAWAL if out else True):
-                orders.bench(e.index, out)
-                e.benched = out
-                self.channel.charge(list(self.proxies), 1)
+        for e in [e for e in self.endpoints.values() if self.open(e) == e.benched]:
+            holding = [i for i, p in self.proxies.items() if e.index in self.lines.get(p.table, [e.index])]
+            if self.channel.room(1, holding, 1 if e.benched else WITHDRAWAL):
+                e.benched = not e.benched
+                orders.bench(e.index, e.benched)
+                self.changed = max(self.changed, NEEDED if e.benched else 1)
+                self.channel.charge(holding, 1)
 
     def plan(self, orders, urgent):
         """One beat of the design: curves, spill, tables. Urgent: the tables in use are changed in place."""
+        for zone in {p.zone for p in self.proxies.values()}:    # returns: not all of it is listed yet
+            here = [e for e in self.usable() if e.zone == zone]
+            latest = max([e.start for e in here], default=0)
+            old = [e for e in here if e.start < self.now - RETURN]
+            if latest > self.now - RETURN and not any(e.latency.read(self.now)[0] > 0.5 for e in old):
+                for e in old:
+                    e.start = latest
         strengths = self.strengths()
         own, demand = self.demands()
         capacity, listed, usable = [0.0] * self.zones, [0.0] * self.zones, self.usable()
@@ -538,7 +545,7 @@
         had, old = self.lines.get(table), self.users(table ^ 1)
         if urgent or not had:
             for t in (table, table ^ 1) if old else (table,):
-                self.write(t, lines, orders, True)
+                self.write(t, lines, orders, urgent or 1)
         elif not old:           # else the last staging is not over: two splits would clash
             moved = sum(abs(lines.get(k, 0) - had.get(k, 0)) for k in set(lines) | set(had)) / 2000
             if moved >= WORTH_LINES:
@@ -610,14 +617,11 @@
                 left -= left > 0 and self.bind(i, self.target(self.proxies[i]), orders, False)
 
     def round(self, now, news, orders):
-        first = not self.next_beat
         self.now = now
         self.channel.drain(now)
         for name, values in news:
             getattr(self, name)(*values)
-        if first:
-            self.next_beat, self.next_step = now + BEAT, now + STEP
-            orders.wake(self.next_step, "step")
+        self.next_beat = self.next_beat or now + BEAT
         if self.ask_again and now >= self.ask_again:
             orders.observe(True)
             self.ask_again = now + 5 * SECOND
@@ -625,20 +629,16 @@
         new = [i for i, p in self.proxies.items() if p.table is None]
         if any(self.proxies[i].part is None for i in new):
             self.deal()
-        if first or self.changed or any(self.target(self.proxies[i]) is None for i in new):
-            self.plan(orders, True)
-            self.changed = False
+        if self.changed or any(self.target(self.proxies[i]) is None for i in new):
+            self.plan(orders, self.changed or 1)
+            self.changed = 0
         for i in new:
             self.bind(i, self.target(self.proxies[i]), orders, True)
-        if self.proxies and not self.loads:     # what is heard before the first beat belongs to this load
-            self.plan(orders, True)
-        if self.first and not self.begun and now - self.first > SECOND // 4:
-            self.begun, self.next_beat = True, now
         if now >= self.next_beat:
             self.next_beat = now + BEAT
             self.plan(orders, False)
         if now >= self.next_step:
-            self.next_step = now + STEP
+            self.next_step, self.changed, self.held = now + STEP, max(self.changed, self.held), 0
             self.stage(orders)
             orders.wake(self.next_step, "step")
         self.channel.settle(now, orders)
