--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -51,10 +51,10 @@
     def __init__(self, index, start):
         self.index, self.zone, self.kind, self.state = index, 0, 0, "unknown"
         self.weight, self.start, self.benched, self.order = 1.0, start, False, None
-        self.tries = Decaying(HEALTH_SPAN, 2)       # tries, dropped; over a restart too: see `fade`
         self.forget()
 
     def forget(self):
+        self.tries = Decaying(HEALTH_SPAN, 2)       # tries, dropped
         self.misses = Decaying(2 * SECOND, 2)       # tries, missed
         self.busy = Decaying(2 * SECOND, 2)         # reports, load reported for each weight
         self.latency = Decaying(PACE_SPAN, 2)       # delivered, delivered x latency
@@ -73,10 +73,8 @@
     def demand(self, now):
         """Flows a second of each group; None as long as nothing was heard."""
         sums = [d.read(now) for d in self.flows]
-        if sum(s[1] for s in sums) < 0.1:
-            return None
-        longest = max(s[1] for s in sums)   # a group without flows goes unreported all that time
-        return [s[0] / longest for s in sums]
+        longest = max((s[1] for s in sums), default=0)    # a group without flows goes unreported
+        return [s[0] / longest for s in sums] if longest > 0.05 else None
 
 
 class Channel:
@@ -386,10 +384,14 @@
         mean = {e: t / n for e in self.endpoints.values() for n, t in [e.latency.read(self.now)] if n > 2}
         usual = [median([v for e, v in mean.items() if e.zone == z]) for z in range(self.zones)]
         kin = {k: median([v for e, v in mean.items() if e.kind == k]) for k in {e.kind for e in mean}}
+        known = {}
         for e in self.usable():
             took, middle = mean.get(e) or kin.get(e.kind), usual[e.zone]
             pace = min(PACE_MOST, max(PACE_LEAST, middle / took)) if took and middle else 1.0
-            out[e.zone][e.index] = e.weight * self.ramp(e) * e.fade(self.now) * pace
+            known[e] = e.fade(self.now) * pace
+        warm = [[v for e, v in known.items() if e.zone == z and self.ramp(e) == 1] for z in range(self.zones)]
+        for e, v in known.items():      # one of which little was heard is not the best of a failing zone
+            out[e.zone][e.index] = e.weight * self.ramp(e) * (v if self.ramp(e) == 1 else min(v, median(warm[e.zone], v)))
         return out
 
     def demands(self):
@@ -398,14 +400,11 @@
         for p in self.proxies.values():
             own[p.zone] += sum(p.demand(self.now) or [p.usual])
             count[p.zone] += 1
-        unseen = max(0, self.service.get("proxy_count", 0) - len(self.proxies))
-        if not unseen or not self.proxies:
-            return own, own
+        total, heard = self.service.get("proxy_count", 0), max(1, len(self.proxies))
         zoned = self.service.get("by_zone")     # whole zones are unheard then, and only what is usual counts:
-        expected = self.service["proxy_count"] / self.zones     # own demand may have come from there
-        lack = [max(0.0, expected - c) if zoned else 1.0 for c in count]
+        lack = [max(0.0, total / self.zones - c) if zoned else 1.0 for c in count]    # own may be theirs
         each = sum(p.usual for p in self.proxies.values()) if zoned else sum(own)
-        scale = unseen * each / len(self.proxies) / max(sum(lack), 1e-9)
+        scale = max(0, total - len(self.proxies)) * each / heard / max(sum(lack), 1e-9)
         return own, [o + scale * k for o, k in zip(own, lack)]
 
     def gaps(self):
