--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -96,7 +96,7 @@
         """Whether so many lines to each of these proxies fit; the ordinary leaves half to the urgent."""
         heads = len(self.round) + sum(p not in self.round for p in proxies)
         asked = sum(self.round.values()) + len(proxies) * lines + heads * (self.head + 1)
-        if self.waiting + asked > self.most * (0.45, 0.75, 0.85, 0.92)[urgent]:
+        if self.waiting + asked > self.most * (0.45, 0.65, 0.75, 0.88)[urgent]:
             return False
         few = round(self.messages * (0.6, 0.7, 0.8, 1.0)[urgent]) or 1e9   # the last for withdrawals
         return all(p in self.round or self.count(p) < few for p in proxies)
@@ -364,10 +364,10 @@
     # --- estimates ---
 
     def ramp(self, e):
-        """A new endpoint comes in over the ramp, from the share of its capacity that the settings promise."""
+        """A new endpoint comes in over the ramp, from the share that the settings promise and little fells."""
         if e.start <= 0:
             return 1.0
-        cold = self.rules.get("cold_share", 0.2)
+        cold = self.rules.get("cold_share", 0.2) * min(1.0, (self.rules.get("fall_multiple", 4.0) - 1) / 3)
         return min(1.0, cold + (1 - cold) * max(0, self.now - e.start) / RAMP)
 
     def open(self, e):
@@ -391,7 +391,8 @@
             known[e] = e.fade(self.now) * pace
         warm = [[v for e, v in known.items() if e.zone == z and self.ramp(e) == 1] for z in range(self.zones)]
         for e, v in known.items():      # one of which little was heard is not the best of a failing zone
-            out[e.zone][e.index] = e.weight * self.ramp(e) * (v if self.ramp(e) == 1 else min(v, median(warm[e.zone], v)))
+            most = v if self.ramp(e) == 1 else min(v, median(warm[e.zone], v))
+            out[e.zone][e.index] = e.weight * self.ramp(e) * most
         return out
 
     def demands(self):
