--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -269,6 +269,7 @@
         self.provisioning = provisioning
         self.service, self.rules = provisioning.get("service", {}), provisioning.get("rules", {})
         self.groups = provisioning.get("traffic_groups", [])
+        self.frail = max(1.0, 3 / max(0.1, self.rules.get("fall_multiple", 4.0) - 1))  # cold ones fall
         self.zones = max(1, len(provisioning.get("zones", [])))
         self.chance = random.Random(seed)
         self.channel = Channel(self.service)
@@ -282,16 +283,15 @@
         self.ask_again = int(provisioning.get("discovery") == "on_request")
         self.met = Decaying(2 * SECOND, 2)                      # delivered, delivered x latency
         self.trust = UNLIMITED if provisioning.get("weights") == "none" else TRUST     # in weight over it
-        self.carried = self.calm = 0.0                          # most carried, and in hand, in calm
         self.budget = min([g.get("latency_budget_us") or 10 * SECOND for g in self.groups], default=SECOND)
         columns = provisioning.get("telemetry", {}).get("columns", [])
         self.in_hand = columns.index("active") if "active" in columns else None
-        self.now = self.next_beat = self.next_step = self.held = self.changed = 0
+        self.now = self.next_beat = self.next_step = self.held = self.changed = self.carried = self.calm = 0
 
     # --- the news ---
 
     def listed(self, how, entries):
-        seen = set()
+        seen = {entry[0] for entry in entries}
         for index, zone, kind, _, state, weight, start in entries:
             e = self.endpoints.get(index)
             if e is None:
@@ -299,7 +299,6 @@
             if start > e.start:         # another process: what was heard of the old one says nothing
                 e.start, self.changed = start, NEEDED
                 e.forget()
-            seen.add(index)
             if e.order is None:         # a successor takes the place of one that has gone
                 taken = {o.order for o in self.endpoints.values() if o.zone == zone and o.state != "gone"}
                 e.order = next(n for n in range(len(taken) + 1) if n not in taken)
@@ -364,10 +363,10 @@
     # --- estimates ---
 
     def ramp(self, e):
-        """A new endpoint comes in over the ramp, from the share that the settings promise and little fells."""
+        """A new endpoint comes in over the ramp, from the share promised, or less where little fells it."""
         if e.start <= 0:
             return 1.0
-        cold = self.rules.get("cold_share", 0.2) * min(1.0, (self.rules.get("fall_multiple", 4.0) - 1) / 3)
+        cold = self.rules.get("cold_share", 0.2) / self.frail
         return min(1.0, cold + (1 - cold) * max(0, self.now - e.start) / RAMP)
 
     def open(self, e):
@@ -391,7 +390,8 @@
             known[e] = e.fade(self.now) * pace
         warm = [[v for e, v in known.items() if e.zone == z and self.ramp(e) == 1] for z in range(self.zones)]
         for e, v in known.items():      # one of which little was heard is not the best of a failing zone
-            most = v if self.ramp(e) == 1 else min(v, median(warm[e.zone], v))
+            most = median(warm[e.zone], v)      # and takes what others, failing, leave to a second try
+            most = v if self.ramp(e) == 1 else min(v, most) * min(1.0, most) ** (self.frail - 1)
             out[e.zone][e.index] = e.weight * self.ramp(e) * most
         return out
 
