--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -26,7 +26,7 @@
 KEPT_IN, TRUST = 0.05, 0.8                  # part of a group let in to be heard; trust in the first capacity
 UNLIMITED, NEEDED, WITHDRAWAL = 1e6, 2, 3   # a level; urgency of tables after a drain or a start, of drains
 PART_ENDPOINTS, PART_PROXIES = 3, 6         # least of a zone's endpoints, and of its proxies, to a table
-SLACK = 0.2                                 # a part of a zone's endpoints takes so much over its due
+SLACK, BLIND = 0.2, 0.25                    # of a part, over its due; of a cold share, while no flow is known
 
 
 class Decaying:
@@ -366,7 +366,7 @@
         """A new endpoint comes in over the ramp, from the share promised, or less where little fells it."""
         if e.start <= 0:
             return 1.0
-        cold = self.rules.get("cold_share", 0.2) / self.frail
+        cold = self.rules.get("cold_share", 0.2) / self.frail * (1.0 if self.work else BLIND)
         return min(1.0, cold + (1 - cold) * max(0, self.now - e.start) / RAMP)
 
     def open(self, e):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -304,6 +304,21 @@
     assert p.load(0) < 0.5 * p.load(1)
 
 
+@pytest.mark.parametrize("fells, failing, most", [(4.0, 0, 0.2), (2.5, 0, 0.12), (2.5, 10, 0.08)])
+def test_a_cold_endpoint_gets_less_where_little_fells_it_and_where_others_fail(pilot, fells, failing, most):
+    p = pilot(rules={"cold_share": 0.2, "fall_multiple": fells})
+    p.run(10, lambda s: [met(0, i, dropped=failing) for i in (0, 1)])
+    p.hear(("listed", ("update", ((0, 0, 0, 0, "ready", 4.0, p.now),))))
+    assert 0 < p.load(0) < most
+
+
+def test_while_no_flow_is_known_a_cold_endpoint_gets_little(pilot):
+    p = pilot()
+    p.hear(met(0, 1, tries=2))
+    p.hear(("listed", ("update", ((0, 0, 0, 0, "ready", 4.0, p.now),))))
+    assert 0 < p.load(0) < 0.06
+
+
 def test_withdrawals_cost_only_the_proxies_that_hold_the_endpoint(pilot):
     p = pilot(proxies=8)
     before = p.controller.channel.waiting
