--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -279,7 +279,7 @@
         self.share = [[float(i == j) for j in range(self.zones)] for i in range(self.zones)]
         self.least, self.loads = {}, {}     # latencies of the last second by (from, to); demand per weight
         self.gap = [[0] * self.zones for _ in range(self.zones)]
-        self.first, self.bound, self.medians, self.work = 0, None, [], None    # bound: of a miss
+        self.first, self.bound, self.medians, self.work, self.alike = 0, None, [], None, 1.0
         self.ask_again = int(provisioning.get("discovery") == "on_request")
         self.met = Decaying(2 * SECOND, 2)                      # delivered, delivered x latency
         self.trust = UNLIMITED if provisioning.get("weights") == "none" else TRUST     # in weight over it
@@ -293,9 +293,7 @@
     def listed(self, how, entries):
         seen = {entry[0] for entry in entries}
         for index, zone, kind, _, state, weight, start in entries:
-            e = self.endpoints.get(index)
-            if e is None:
-                e = self.endpoints[index] = Endpoint(index, start)
+            e = self.endpoints.get(index) or self.endpoints.setdefault(index, Endpoint(index, start))
             if start > e.start:         # another process: what was heard of the old one says nothing
                 e.start, self.changed = start, NEEDED
                 e.forget()
@@ -564,7 +562,7 @@
             self.work = min(self.work or 1e9, took / delivered / SECOND, self.budget / 3 / SECOND)
         if not self.work or not demand or not strength:
             return 1.0
-        needed = demand * self.work / strength
+        needed = demand * self.work / strength * self.alike
         if not learn:
             return min(1.0, self.trust / needed)
         sums = [(*e.misses.read(self.now), *e.busy.read(self.now)) for e in self.usable()]
@@ -574,10 +572,12 @@
         if calm:
             self.carried = max(self.carried * 0.995, min(needed, self.trust))
             self.calm = max(self.calm * 0.99, busy or 0.0)
-        if calm or (busy is not None and busy <= self.calm):
-            if needed > 0.9 * self.trust:
-                self.trust *= SHED_UP
-        elif missed > SHED_MISSES and (busy is None or busy > 1.3 * self.calm + 0.1):
+        idle = busy is not None and busy <= 1.3 * self.calm + 0.1
+        # against refusing where all fail alike yet hold little, as for want of connections: few are lacking
+        self.alike = median([e.fade(self.now) for e in self.usable()], 1.0) ** 0.5 if idle else 1.0
+        if (calm or (busy is not None and busy <= self.calm)) and needed > 0.9 * self.trust:
+            self.trust *= SHED_UP
+        elif missed > SHED_MISSES and not idle:
             self.trust = max(self.carried, SHED_DOWN * min(self.trust, needed))
         return min(1.0, self.trust / needed)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -225,6 +225,17 @@
     assert p.kept.levels and all(0 < v < 1 for (_, g), (v, _) in p.kept.levels.items() if g == 1)
 
 
+@pytest.mark.parametrize("held, least", [(2, 0.65), (30, 0.0)], ids=["holding little", "holding much"])
+def test_failures_alike_are_hardly_a_lack_of_endpoints_while_they_hold_little(pilot, held, least):
+    p = pilot()
+    for second in range(24):
+        p.run(1, lambda s: [met(z, 2 * z + i, tries=40, dropped=0 if second < 8 else 20,
+                                report=(2 if second < 8 else held,)) for z in (0, 1) for i in (0, 1)]
+              + [("asked", (i, g, 7, 0, SECOND)) for i in range(4) for g in (0, 1)])
+    parts = [p.controller.alike, 1.0]
+    assert least <= min(parts) and (p.controller.alike < 1) == (held == 2)
+
+
 def test_late_answers_of_idle_endpoints_are_no_overload(pilot):
     p = pilot()
     p.run(30, lambda s: busy_fleet(s, report=(2,), flows=6))
