Cold endpoints stay out of tables where proxies shun a failing rest; larger steps of refusing

Below half of its ramp it now has no line where the middle of its zone is under 0.6 and proxies shun (it replaces the power by which a cold one's weight fell where little fells it).

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -22,10 +22,11 @@
 WORTH_LINES, LEVEL_MOVES = 0.08, 0.1        # parts that must have moved for a table or a level to be sent
 SHED_MISSES, CALM_MISSES = 0.10, 0.06       # of the tries: the estimate of capacity goes down, or up again
 COLD_LOAD, COLD_PART = 1.2, 0.7             # most load of a cold zone against the mean; so cold is cold
-SHED_DOWN, SHED_UP = 0.85, 1.1              # what a beat of misses or of calm makes of it
-KEPT_IN, TRUST = 0.05, 0.8                  # part of a group let in to be heard; trust in the first capacity
+SHED_DOWN, SHED_UP = 0.75, 1.1              # what a beat of misses or of calm makes of it
+KEPT_IN, TRUST, SHED_LEAST = 0.05, 0.8, 0.95    # of a group; in the first capacity; of what was carried
 UNLIMITED, NEEDED, WITHDRAWAL = 1e6, 2, 3   # a level; urgency of tables after a drain or a start, of drains
 PART_ENDPOINTS, PART_PROXIES = 3, 6         # least of a zone's endpoints, and of its proxies, to a table
+LUKEWARM, FAILING = 0.5, 0.6                # a colder one has no line where the zone's middle is worse
 SLACK, BLIND = 0.2, 0.25                    # of a part, over its due; of a cold share, while no flow is known
 
 
@@ -377,20 +378,19 @@
 
     def strengths(self):
         """For each zone: endpoint -> weight by list, ramp, fading failures and measured pace."""
-        out = [{} for _ in range(self.zones)]
+        out, known = [{} for _ in range(self.zones)], {}
         mean = {e: t / n for e in self.endpoints.values() for n, t in [e.latency.read(self.now)] if n > 2}
         usual = [median([v for e, v in mean.items() if e.zone == z]) for z in range(self.zones)]
         kin = {k: median([v for e, v in mean.items() if e.kind == k]) for k in {e.kind for e in mean}}
-        known = {}
         for e in self.usable():
             took, middle = mean.get(e) or kin.get(e.kind), usual[e.zone]
             pace = min(PACE_MOST, max(PACE_LEAST, middle / took)) if took and middle else 1.0
             known[e] = e.fade(self.now) * pace
         warm = [[v for e, v in known.items() if e.zone == z and self.ramp(e) == 1] for z in range(self.zones)]
         for e, v in known.items():      # one of which little was heard is not the best of a failing zone
-            most = median(warm[e.zone], v)      # and takes what others, failing, leave to a second try
-            most = v if self.ramp(e) == 1 else min(v, most) * min(1.0, most) ** (self.frail - 1)
-            out[e.zone][e.index] = e.weight * self.ramp(e) * most
+            ramp, most = self.ramp(e), median(warm[e.zone], v)      # proxies that shun the rest would fell it
+            if ramp > LUKEWARM or most > FAILING or not self.service.get("outlier_after"):
+                out[e.zone][e.index] = e.weight * ramp * (v if ramp == 1 else min(v, most))
         return out
 
     def demands(self):
@@ -578,7 +578,7 @@
         if (calm or (busy is not None and busy <= self.calm)) and needed > 0.9 * self.trust:
             self.trust *= SHED_UP
         elif missed > SHED_MISSES and not idle:
-            self.trust = max(self.carried, SHED_DOWN * min(self.trust, needed))
+            self.trust = max(SHED_LEAST * self.carried, SHED_DOWN * min(self.trust, needed))
         return min(1.0, self.trust / needed)
 
     def plan_levels(self, allowed):
