--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -23,7 +23,7 @@
 SHED_MISSES, CALM_MISSES = 0.10, 0.06       # of the tries: the estimate of capacity goes down, or up again
 COLD_LOAD, COLD_PART = 1.2, 0.7             # most load of a cold zone against the mean; so cold is cold
 SHED_DOWN, SHED_UP = 0.75, 1.1              # what a beat of misses or of calm makes of it
-KEPT_IN, TRUST, SHED_LEAST = 0.05, 0.8, 0.95    # of a group; in the first capacity; of what was carried
+KEPT_IN, TRUST, SHED_LEAST = 0.05, 0.8, 1.1     # of a group; in the first capacity; of what calm carried
 UNLIMITED, NEEDED, WITHDRAWAL = 1e6, 2, 3   # a level; urgency of tables after a drain or a start, of drains
 PART_ENDPOINTS, PART_PROXIES = 3, 6         # least of a zone's endpoints, and of its proxies, to a table
 LUKEWARM, FAILING = 0.5, 0.6                # a colder one has no line where the zone's middle is worse
@@ -572,13 +572,13 @@
         if calm:
             self.carried = max(self.carried * 0.995, min(needed, self.trust))
             self.calm = max(self.calm * 0.99, busy or 0.0)
-        idle = busy is not None and busy <= 1.3 * self.calm + 0.1
-        # against refusing where all fail alike yet hold little, as for want of connections: few are lacking
+        idle = busy is not None and busy <= 1.3 * self.calm + 0.1   # and failing, for want of connections
         self.alike = median([e.fade(self.now) for e in self.usable()], 1.0) ** 0.5 if idle else 1.0
         if (calm or (busy is not None and busy <= self.calm)) and needed > 0.9 * self.trust:
             self.trust *= SHED_UP
         elif missed > SHED_MISSES and not idle:
-            self.trust = max(SHED_LEAST * self.carried, SHED_DOWN * min(self.trust, needed))
+            least = min(1.0, SHED_LEAST - missed / 2) * self.carried     # few misses may be a hang
+            self.trust = max(least, SHED_DOWN * min(self.trust, needed))
         return min(1.0, self.trust / needed)
 
     def plan_levels(self, allowed):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -236,6 +236,15 @@
     assert least <= min(parts) and (p.controller.alike < 1) == (held == 2)
 
 
+@pytest.mark.parametrize("dropped, least, most", [(16, 0.9, 1.01), (95, 0.5, 0.8)], ids=["a hang?", "a jam"])
+def test_the_estimate_of_capacity_falls_the_further_the_more_miss(pilot, dropped, least, most):
+    p = pilot()
+    p.run(20, lambda s: [met(z, 2 * z + i, tries=100, dropped=dropped if s > 8 else 0, report=(30 if s > 8 else 2,))
+                         for z in (0, 1) for i in (0, 1)]
+          + [("asked", (i, g, 7, 0, SECOND)) for i in range(4) for g in (0, 1)])
+    assert least <= p.controller.trust / p.controller.carried < most
+
+
 def test_late_answers_of_idle_endpoints_are_no_overload(pilot):
     p = pilot()
     p.run(30, lambda s: busy_fleet(s, report=(2,), flows=6))
