--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -245,6 +245,13 @@
     assert least <= p.controller.trust / p.controller.carried < most
 
 
+def test_a_pilot_that_was_never_calm_does_not_refuse_ever_more(pilot):
+    p = pilot()
+    p.run(60, lambda s: [met(z, 2 * z + i, tries=100, dropped=50, report=(30,)) for z in (0, 1) for i in (0, 1)]
+          + [("asked", (i, g, 7, 0, SECOND)) for i in range(4) for g in (0, 1)])
+    assert p.controller.trust > 0.2
+
+
 def test_late_answers_of_idle_endpoints_are_no_overload(pilot):
     p = pilot()
     p.run(30, lambda s: busy_fleet(s, report=(2,), flows=6))
