--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -22,7 +22,7 @@
 WORTH_LINES, LEVEL_MOVES = 0.08, 0.1        # parts that must have moved for a table or a level to be sent
 SHED_MISSES, CALM_MISSES = 0.10, 0.06       # of the tries: the estimate of capacity goes down, or up again
 COLD_LOAD, COLD_PART = 1.2, 0.7             # most load of a cold zone against the mean; so cold is cold
-SHED_DOWN, SHED_UP, SHED_BACK = 0.75, 1.1, 1.4   # what a beat makes of it: misses, calm, calm far below
+SHED_DOWN, SHED_UP = 0.75, 1.1              # what a beat of misses or of calm makes of it
 KEPT_IN, TRUST, SHED_LEAST = 0.05, 0.8, 1.1     # of a group; in the first capacity; of what calm carried
 UNLIMITED, NEEDED, WITHDRAWAL = 1e6, 2, 3   # a level; urgency of tables after a drain or a start, of drains
 PART_ENDPOINTS, PART_PROXIES = 3, 6         # least of a zone's endpoints, and of its proxies, to a table
@@ -84,7 +84,7 @@
     def __init__(self, service):
         self.pace = self.usual = max(1.0, service.get("lines_per_s") or 1e9)
         self.head, self.most = service.get("envelope", 6.0), service.get("most_waiting") or 1e9
-        self.messages, self.over = service.get("messages_most", 0), service.get("counted_over_us", 10 * SECOND)
+        self.messages, self.over = service.get("messages_most", 0), service.get("counted_over_us", 10**7)
         self.late_most = service.get("late_most_us", SECOND)
         self.waiting, self.at, self.sent, self.round, self.marks, self.number = 0.0, 0, {}, {}, {}, 0
 
@@ -574,9 +574,9 @@
         idle = busy is not None and busy <= 1.3 * self.calm + 0.1   # and failing, for want of connections
         self.alike = median([e.fade(self.now) for e in self.usable()], 1.0) ** 0.5 if idle else 1.0
         if (calm or (busy is not None and busy <= self.calm)) and needed > 0.9 * self.trust:
-            self.trust *= SHED_UP if needed < 2 * self.trust else SHED_BACK
+            self.trust *= SHED_UP
         elif missed > SHED_MISSES and not idle:
-            self.carried = self.carried or min(self.trust, needed) / 2      # jammed from the first: never calm yet
+            self.carried = self.carried or min(self.trust, needed) / 2  # jammed from the first
             least = min(1.0, SHED_LEAST - missed / 2) * self.carried     # few misses may be a hang
             self.trust = max(least, SHED_DOWN * min(self.trust, needed))
         return min(1.0, self.trust / needed)
