--- /dev/null
+++ b/ravenshelf/__main__.py
@@ -0,0 +1,43 @@
+"""ravenshelf: serve, check, version."""
+import sys
+from pathlib import Path
+from typing import Annotated, Optional
+
+import typer
+
+from ravenshelf import __version__
+from ravenshelf.process import configuration
+
+app = typer.Typer(help="ravenshelf tells forwarders where work goes.", no_args_is_help=True, add_completion=False)
+Config = Annotated[Optional[Path], typer.Option("--config", "-c", help="The configuration; else RELAY_CONFIG names it.")]
+
+
+def read(config: Path | None) -> dict:
+    try:
+        return configuration.read(str(config) if config else None)
+    except configuration.Wrong as why:
+        print(f"ravenshelf: {why}", file=sys.stderr)
+        raise typer.Exit(2) from None
+
+
+@app.command()
+def serve(config: Config = None, log_level: Annotated[str, typer.Option(help="Least level of log lines.")] = "INFO"):
+    """Run one pilot until SIGTERM. SIGUSR1 prints its counters."""
+    from ravenshelf.process import run
+    raise typer.Exit(run.run(read(config), log_level.upper()))
+
+
+@app.command()
+def check(config: Config = None):
+    """Check a configuration and say what it holds."""
+    print(configuration.summary(read(config)))
+
+
+@app.command()
+def version():
+    """Print the version."""
+    print(f"ravenshelf {__version__}")
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/ravenshelf/memory/__init__.py
@@ -0,0 +1,1 @@
+"""What the pilot keeps in memory: slots, deadlines, buffers, the list, what each proxy was sent, counters."""
--- /dev/null
+++ b/ravenshelf/memory/sent.py
@@ -0,0 +1,215 @@
+"""The writer that decisions go to, and what each proxy was sent.
+
+Tables, levels and withdrawals are kept once; the orders of a round become one message for each proxy concerned."""
+from dataclasses import dataclass, field
+
+from ravenshelf.interface import EVERYWHERE
+
+
+@dataclass
+class Part:
+    """A part of a message, in our numbers: the groups meant (empty: all), and what changes for them."""
+    groups: tuple[int, ...] = ()
+    whole: bool = False
+    lines: list[tuple[int, float]] = field(default_factory=list)
+    level: tuple[float, int] | None = None
+    out: list[int] = field(default_factory=list)
+    back: list[int] = field(default_factory=list)
+    ticket: int | None = None
+
+    def count(self) -> int:
+        """Lines as the channel counts them, without the head of the message."""
+        singles = self.whole + (self.level is not None) + (self.ticket is not None)
+        return singles + len(self.lines) + len(self.out) + len(self.back)
+
+
+class Held:
+    """What one joined proxy was sent on its present stream, and what it may have kept from before."""
+
+    def __init__(self, unknown: bool, past: set[int]):
+        self.bound: dict[int, int] = {}     # traffic group: table
+        self.out: set[int] = set()          # written out on this stream and not back again
+        self.settled: set[int] = set()      # endpoints of which this stream has said out or back
+        self.unknown, self.past = unknown, past
+        self.rebound: set[int] = set()
+        self.asked: set[int] = set()        # withdrawals of this round that concern it
+
+    def doubtful(self, endpoint: int) -> bool:
+        """Whether it may still shut out an endpoint by an order from before this stream."""
+        return endpoint not in self.settled and (self.unknown or endpoint in self.past)
+
+
+class Sent:
+    def __init__(self, groups: int, alone: bool):
+        self.groups, self.alone = tuple(range(groups)), alone
+        self.proxies: dict[int, Held] = {}
+        self.past: dict[int, set[int]] = {}     # by proxy: what this pilot ever wrote out to it
+        self.benched: set[int] = set()
+        self.forget()
+
+    def forget(self) -> None:
+        """Nothing is ordered any more, as at a start; what the proxies hold is remembered."""
+        self.tables: dict[int, dict[int, float]] = {}
+        self.levels: dict[int, dict[int, tuple[float, int]]] = {}
+        self.benched = set()
+        for held in self.proxies.values():
+            held.bound = {}
+        self.drop()
+
+    def drop(self) -> None:
+        """The round's orders are written, or its module failed: what was touched is touched no more."""
+        self.touched: dict[int, dict[int, None]] = {}
+        self.leveled: dict[int, set[int]] = {}
+        self.cleared: set[int] = set()
+        self.ticket, self.ticket_for_all = None, False
+        self.wakes: list[tuple[int, str]] = []
+        self.calls: list[tuple] = []
+        for held in self.proxies.values():
+            held.rebound, held.asked = set(), set()
+
+    # --- proxies come and go ---
+
+    def joined(self, proxy: int, fresh: bool) -> None:
+        # a proxy seen before can hold only what this pilot wrote, unless another pilot may have had it meanwhile
+        unknown = not fresh and not (self.alone and proxy in self.past)
+        self.proxies[proxy] = Held(unknown, set(self.past.setdefault(proxy, set())))
+
+    def left(self, proxy: int) -> None:
+        self.proxies.pop(proxy, None)
+
+    # --- the orders ---
+
+    def line(self, table: int, endpoint: int, weight: float) -> None:
+        if not 0 <= weight < float("inf"):
+            raise ValueError(f"weight {weight!r} of a line")
+        lines = self.tables.setdefault(table, {})
+        self.touched.setdefault(table, {})[endpoint] = None
+        if weight:
+            lines[endpoint] = weight
+        else:
+            lines.pop(endpoint, None)
+
+    def clear(self, table: int) -> None:
+        self.tables[table], self.levels[table] = {}, {}
+        self.touched.pop(table, None)
+        self.leveled.pop(table, None)
+        self.cleared.add(table)
+
+    def bench(self, endpoint: int, out: bool) -> None:
+        (self.benched.add if out else self.benched.discard)(endpoint)
+        for held in self.proxies.values():
+            tables = set(held.bound.values())
+            if len(held.bound) < len(self.groups) or any(endpoint in self.tables.get(t, ()) for t in tables):
+                held.asked.add(endpoint)
+
+    def bind(self, proxy: int, table: int, groups: int = 0) -> None:
+        if proxy not in self.proxies:
+            return
+        meant = [g for g in self.groups if not groups or groups >> g & 1]
+        self.proxies[proxy].bound.update(dict.fromkeys(meant, table))
+        self.proxies[proxy].rebound.update(meant)
+
+    def level(self, table: int, groups: int, level: float, tries: int) -> None:
+        if not 0 <= level < float("inf") or tries not in (0, 1, 2, 3):
+            raise ValueError(f"level {level!r} with tries {tries!r}")
+        for g in self.groups:
+            if not groups or groups >> g & 1:
+                self.levels.setdefault(table, {})[g] = (level, tries)
+                self.leveled.setdefault(table, set()).add(g)
+
+    def mark(self, number: int, everyone: bool = False) -> None:
+        self.ticket, self.ticket_for_all = number, everyone
+
+    def wake(self, at: int, key: str) -> None:
+        self.wakes.append((at, key))
+
+    def observe(self, on: bool) -> None:
+        self.calls.append(("observe", on))
+
+    def fetch(self) -> None:
+        self.calls.append(("fetch",))
+
+    def probe(self, endpoint: int) -> None:
+        self.calls.append(("probe", endpoint))
+
+    def tell(self, peer: int | None, octets: bytes) -> None:
+        self.calls.append(("tell", peer, octets))
+
+    def log(self, text: str) -> None:
+        self.calls.append(("log", text))
+
+    # --- the round's messages ---
+
+    def messages(self) -> list[tuple[int, list[Part]]]:
+        """One message for each proxy that the round's orders concern; then nothing is touched any more."""
+        out = []
+        for proxy, held in self.proxies.items():
+            parts = self._message(held)
+            if self.ticket is not None and (parts or self.ticket_for_all):
+                parts = parts or [Part()]
+                parts[-1].ticket = self.ticket
+            if parts:
+                self.past[proxy] |= held.out
+                out.append((proxy, parts))
+        self.drop()
+        return out
+
+    def _effective(self, table: int, group: int) -> tuple[float, int] | None:
+        """The lower level wins, and the table's own way of trying again."""
+        own = self.levels.get(table, {}).get(group)
+        all_ = self.levels.get(EVERYWHERE, {}).get(group)
+        return (min(own[0], all_[0]), own[1]) if own and all_ else own or all_
+
+    def _message(self, held: Held) -> list[Part]:
+        parts, added = [], {}
+        by_table: dict[int | None, list[int]] = {}
+        for g in self.groups:
+            by_table.setdefault(held.bound.get(g), []).append(g)
+        for table, bound in by_table.items():
+            lines = self.tables.get(table, {})
+            fresh = [g for g in bound if g in held.rebound or table in self.cleared]
+            known = [g for g in bound if g not in fresh]
+            if fresh and table is not None:
+                parts.append(Part(self._named(fresh), True, list(lines.items())))
+                added.update(dict.fromkeys(lines))
+            changes = [(e, lines.get(e, 0.0)) for e in self.touched.get(table, ())] if table is not None else []
+            if known and changes:
+                parts.append(Part(self._named(known), False, changes))
+                added.update(dict.fromkeys(e for e, weight in changes if weight))
+            self._levels(table, fresh, known, parts)
+        out, back = self._withdrawals(held, added)
+        if out or back:
+            parts = parts or [Part()]
+            parts[0].out, parts[0].back = out, back
+        return parts
+
+    def _named(self, groups: list[int]) -> tuple[int, ...]:
+        return () if len(groups) == len(self.groups) else tuple(groups)
+
+    def _levels(self, table: int | None, fresh: list[int], known: list[int], parts: list[Part]) -> None:
+        """Levels that are new for these groups; a whole table has forgotten them, so they travel with it."""
+        moved = self.leveled.get(table, set()) | self.leveled.get(EVERYWHERE, set())
+        same: dict[tuple[float, int], list[int]] = {}
+        for g in sorted([*(fresh if table is not None else ()), *(g for g in known if g in moved)]):
+            level = self._effective(table, g)
+            if level is not None:
+                same.setdefault(level, []).append(g)
+        for level, groups in same.items():
+            named = self._named(groups)
+            if parts and parts[-1].groups == named and parts[-1].level is None:
+                parts[-1].level = level
+            else:
+                parts.append(Part(named, level=level))
+
+    def _withdrawals(self, held: Held, added) -> tuple[list[int], list[int]]:
+        out, back = [], []
+        for e in dict.fromkeys([*held.asked, *added]):
+            if e in self.benched:
+                if e in held.asked or e not in held.out:
+                    out.append(e)
+            elif e in held.asked or e in held.out or held.doubtful(e):
+                back.append(e)
+        held.settled.update(out, back)
+        held.out.update(out)
+        held.out.difference_update(back)
+        return out, back
--- /dev/null
+++ b/ravenshelf/net/catalog.py
@@ -0,0 +1,56 @@
+"""Discovery's JSON into entries of the list."""
+import json
+from typing import Callable
+
+STATES = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
+NEVER_IN_A_NAME = set(" \t\r\n,:=")     # what no order on a stream could name
+
+
+class Unreadable(Exception):
+    """A list or a line of a watch that is none."""
+
+
+class Catalog:
+    def __init__(self, provisioning: dict, endpoint: Callable[[str], int]):
+        self.zones = {name: n for n, name in enumerate(provisioning.get("zones", []))}
+        self.kinds = {name: n for n, name in enumerate(provisioning.get("kinds", []))}
+        self.endpoint = endpoint
+
+    def read(self, text: bytes | str) -> dict:
+        try:
+            return self.check(json.loads(text))
+        except ValueError as why:       # bad JSON or bad UTF-8
+            raise Unreadable(str(why)) from why
+
+    @staticmethod
+    def check(said) -> dict:
+        rev = said.get("rev") if isinstance(said, dict) else None
+        if not isinstance(rev, int) or isinstance(rev, bool) or not isinstance(said.get("targets"), list):
+            raise Unreadable("expected an object with rev and targets")
+        return said
+
+    def entries(self, targets: list) -> tuple[list[tuple], dict[int, str], list[tuple[int | None, str]]]:
+        """Entries for the module, addresses by index, and what was broken: (index if it can be told, why)."""
+        entries, addresses, broken = {}, {}, []
+        for target in targets:
+            name = target.get("uid") if isinstance(target, dict) else None
+            if not isinstance(name, str) or not name or NEVER_IN_A_NAME & set(name):
+                broken.append((None, f"no uid in {str(target)[:80]}"))
+                continue
+            try:
+                entry = self._entry(target)
+            except (KeyError, TypeError, ValueError, OverflowError) as why:
+                broken.append((self.endpoint(name), f"{name}: {type(why).__name__} {why}"))
+                continue
+            index = self.endpoint(name)
+            entries[index] = (index, *entry)
+            if isinstance(target.get("endpoint"), str):
+                addresses[index] = target["endpoint"]
+        return list(entries.values()), addresses, broken
+
+    def _entry(self, target: dict) -> tuple[int, int, int, str, float, int]:
+        weight, start = float(target.get("capacity_hint", 1.0)), float(target.get("boot_ms") or 0)
+        if not 0 <= weight < float("inf") or not 0 <= start < 1e15:
+            raise ValueError(f"capacity_hint {weight}, boot_ms {start}")
+        return (self.zones[target["az"]], self.kinds.get(target.get("model"), 0),
+                int(target.get("pod_group") or 0), STATES[target["state"]], weight, round(start * 1000))
--- /dev/null
+++ b/ravenshelf/net/http.py
@@ -0,0 +1,91 @@
+"""One HTTP/1.1 call: dial, ask, read the answer, whole or line by line."""
+import asyncio
+from typing import Callable
+
+import httptools
+
+from ravenshelf.memory.buffers import Buffers
+from ravenshelf.net.ends import End
+from ravenshelf.net.reading import Reading
+
+MOST_BODY = 16 * 1024 * 1024
+
+
+class Call(Reading):
+    """`done(call)` is told once, with `end`, `status` and `body`; `piece(call, line)` gets lines as they come."""
+
+    def __init__(self, buffers: Buffers, host: str, path: str, done: Callable, piece: Callable | None = None):
+        super().__init__(buffers)
+        self.host, self.path, self.done, self.piece = host, path, done, piece
+        self.parser = httptools.HttpResponseParser(self)
+        self.status, self.size, self.chunks, self.complete = 0, 0, [], False
+        self.slot: int | None = None
+        self.dialing: asyncio.Task | None = None
+
+    def dial(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.dialing = loop.create_task(self._dial(loop))
+
+    async def _dial(self, loop: asyncio.AbstractEventLoop) -> None:
+        try:
+            host, _, port = self.host.rpartition(":")
+            await loop.create_connection(lambda: self, host, int(port))
+        except (OSError, ValueError):
+            self.close(End.REFUSED)
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+        if self.end is not None:
+            transport.abort()
+            return
+        transport.write(f"GET {self.path} HTTP/1.1\r\nHost: {self.host}\r\nAccept: */*\r\n"
+                        "Connection: close\r\n\r\n".encode())
+
+    def close(self, end: End) -> None:
+        if self.dialing is not None and self.transport is None and end is not End.REFUSED:
+            self.dialing.cancel()
+        if end is End.CLOSED and not self.complete:
+            end = End.CUT_OFF
+        super().close(end)
+
+    def eof_received(self) -> bool:
+        return False        # a body without a length ends here: connection_lost tells
+
+    def received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.close(End.UNREADABLE)
+            return
+        if self.complete:
+            self.close(End.ANSWERED if self.status == 200 else End.DECLINED)
+
+    def on_headers_complete(self) -> None:
+        self.status = self.parser.get_status_code()
+
+    def on_body(self, body: bytes) -> None:
+        self.size += len(body)
+        if self.piece is None or self.status != 200:
+            if self.size <= MOST_BODY:
+                self.chunks.append(body)
+            else:
+                self.close(End.TOO_LONG)
+            return
+        *lines, rest = body.split(b"\n")
+        for line in lines:
+            self.chunks.append(line)
+            line, self.chunks, self.size = b"".join(self.chunks), [], 0
+            if self.end is None:
+                self.piece(self, line.strip())
+        self.chunks.append(rest)
+        if sum(map(len, self.chunks)) > MOST_BODY:
+            self.close(End.TOO_LONG)
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+    @property
+    def body(self) -> bytes:
+        return b"".join(self.chunks)
+
+    def ended(self) -> None:
+        self.done(self)
--- /dev/null
+++ b/ravenshelf/net/lines.py
@@ -0,0 +1,154 @@
+"""Lines of the streams: what proxies and collectors say into the module's calls, messages into lines."""
+from typing import Callable, Iterable
+
+from ravenshelf.provisioning import LOAD_WORDS
+
+MOST_LINE = 1024 * 1024     # a message holds no more
+MOST_PARTS = 64
+MOST_FIGURE = 1e15          # beyond any count or time that is meant
+PING, PONG = "PING", b"PONG\r\n"
+
+
+class Malformed(Exception):
+    """What can't be read; the text says what was expected."""
+
+
+def words(line: bytes) -> tuple[str, dict[str, str]]:
+    """The kind of a message and its words; no word comes twice."""
+    try:
+        kind, *rest = line.decode("utf-8").split()
+    except (UnicodeDecodeError, ValueError) as why:
+        raise Malformed("expected a kind and words in UTF-8") from why
+    said = {}
+    for word in rest:
+        name, equals, value = word.partition("=")
+        if not equals or not name or name in said:
+            raise Malformed(f"expected name=value, each name once, not {word[:40]!r}")
+        said[name] = value
+    return kind, said
+
+
+def number(said: dict[str, str], name: str, least: float = 0.0) -> float:
+    try:
+        value = float(said[name])
+    except KeyError as why:
+        raise Malformed(f"expected {name}=") from why
+    except ValueError as why:
+        raise Malformed(f"expected a number as {name}, not {said[name][:40]!r}") from why
+    if not least <= value <= MOST_FIGURE:
+        raise Malformed(f"expected {name} from {least:g} to {MOST_FIGURE:g}, not {said[name][:40]!r}")
+    return value
+
+
+def whole(said: dict[str, str], name: str, beyond: int | None = None) -> int:
+    value = number(said, name)
+    if value != int(value) or (beyond is not None and value >= beyond):
+        raise Malformed(f"expected a whole number{f' below {beyond}' if beyond else ''} as {name}, not {value:g}")
+    return int(value)
+
+
+def micros(said: dict[str, str], name: str) -> int:
+    return round(number(said, name) * 1000)
+
+
+def flag(said: dict[str, str], name: str) -> bool:
+    if said.get(name) not in ("0", "1"):
+        raise Malformed(f"expected 0 or 1 as {name}")
+    return said[name] == "1"
+
+
+def load_report(pairs: Iterable[tuple[str, str]], columns: list[str]) -> tuple[float, ...]:
+    """The columns of a load report by name; one that lacks a column, or says it badly, is none."""
+    had = {}
+    for name, text in pairs:
+        try:
+            value = float(text)
+        except ValueError:
+            return ()
+        if not -MOST_FIGURE <= value <= MOST_FIGURE:
+            return ()
+        had[LOAD_WORDS.get(name, name)] = value
+    wanted = [had.get(LOAD_WORDS.get(c, c)) for c in columns]
+    return () if None in wanted else tuple(wanted)
+
+
+def pairs(text: str, between: str) -> list[tuple[str, str]]:
+    return [tuple(part.partition(between)[::2]) for part in text.split(",")] if text else []
+
+
+class Reader:
+    """Turns a message into (call name, values) for the module, by the names that the settings give."""
+
+    def __init__(self, provisioning: dict, endpoint: Callable[[str], int | None]):
+        self.zones = {name: n for n, name in enumerate(provisioning.get("zones", []))}
+        self.groups = {g.get("name"): n for n, g in enumerate(provisioning.get("traffic_groups", []))}
+        self.proxies = int(provisioning.get("service", {}).get("proxy_count") or 65536)
+        self.columns = provisioning.get("telemetry", {}).get("columns", [])
+        self.endpoint = endpoint
+
+    def zone(self, said: dict[str, str]) -> int:
+        return self._named(said, "zone", self.zones)
+
+    @staticmethod
+    def _named(said: dict[str, str], name: str, known: dict[str, int]) -> int:
+        if said.get(name) not in known:
+            raise Malformed(f"expected a {name} of the settings, not {said.get(name, '')[:40]!r}")
+        return known[said[name]]
+
+    def proxy(self, said: dict[str, str]) -> int:
+        return whole(said, "proxy", self.proxies)
+
+    def joined(self, said: dict[str, str]) -> tuple[int, int, float, bool]:
+        return self.proxy(said), self.zone(said), number(said, "weight"), flag(said, "fresh")
+
+    def applied(self, said: dict[str, str]) -> tuple[int, int, int]:
+        return self.proxy(said), whole(said, "mark", 65536), micros(said, "took_ms")
+
+    def asked(self, said: dict[str, str]) -> tuple[int, int, int, int, int]:
+        return (self.proxy(said), self._named(said, "class", self.groups), whole(said, "tries"),
+                whole(said, "failed"), micros(said, "span_ms"))
+
+    def heard(self, said: dict[str, str]) -> tuple | None:
+        """None where the endpoint was never listed: that says nothing against the line."""
+        zone, tries, failed = self.zone(said), whole(said, "tries"), whole(said, "failed")
+        mean, span = micros(said, "mean_ms") if said.get("mean_ms") else 0, micros(said, "span_ms")
+        if not said.get("server"):
+            raise Malformed("expected server=")
+        index = self.endpoint(said["server"])
+        report = load_report(pairs(said.get("load", ""), ":"), self.columns)
+        return None if index is None else (zone, index, tries, failed, mean, span, report)
+
+
+def figure(value: float) -> str:
+    """A figure in plain decimals that reads back as itself and above 0 where it is above 0."""
+    text = f"{value:.6f}".rstrip("0").rstrip(".")
+    return text if float(text) or not value else f"{max(value, 1e-12):.12f}".rstrip("0")
+
+
+def config(parts: list, names: list[str], groups: list[str]) -> bytes:
+    """One message: its parts as lines, all but the last saying that more comes."""
+    if len(parts) > MOST_PARTS:
+        raise ValueError(f"a message of {len(parts)} parts")
+    out = []
+    for n, part in enumerate(parts):
+        said = ["CONFIG"]
+        if part.groups:
+            said.append("classes=" + "+".join(groups[g] for g in part.groups))
+        if part.whole:
+            said.append("whole=1")
+        if part.lines:
+            said.append("lines=" + ",".join(f"{names[e]}:{figure(weight)}" for e, weight in part.lines))
+        if part.level is not None:
+            said.append(f"level={figure(part.level[0])} retry={part.level[1]}")
+        for word, endpoints in (("out", part.out), ("back", part.back)):
+            if endpoints:
+                said.append(f"{word}=" + ",".join(names[e] for e in endpoints))
+        if part.ticket is not None:
+            said.append(f"ticket={part.ticket}")
+        if n < len(parts) - 1:
+            said.append("more=1")
+        out.append(" ".join(said))
+    message = ("\r\n".join(out) + "\r\n").encode()
+    if len(message) > MOST_LINE:
+        raise ValueError(f"a message of {len(message)} bytes")
+    return message
--- /dev/null
+++ b/ravenshelf/net/reading.py
@@ -0,0 +1,54 @@
+"""Reads into buffers of the pool; what speaks lines or HTTP stands on this protocol."""
+import asyncio
+
+from ravenshelf.memory.buffers import Buffers
+from ravenshelf.net.ends import End
+
+
+class Reading(asyncio.BufferedProtocol):
+    """Ends once, with one End, told by `ended`; what comes later of the same connection is not taken."""
+
+    def __init__(self, buffers: Buffers):
+        self.buffers, self.lent, self.transport, self.end = buffers, None, None, None
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        if self.lent is None:
+            self.lent = self.buffers.lend()
+        return self.lent
+
+    def buffer_updated(self, count: int) -> None:
+        data = bytes(memoryview(self.lent)[:count])
+        self._give_back()
+        if self.end is None:
+            self.received(data)
+
+    def _give_back(self) -> None:
+        if self.lent is not None:
+            self.buffers.take_back(self.lent)
+            self.lent = None
+
+    def eof_received(self) -> bool:
+        self.close(End.CLOSED)
+        return False
+
+    def connection_lost(self, why: Exception | None) -> None:
+        self._give_back()
+        self.close(End.RESET if why is not None else End.CLOSED)
+
+    def close(self, end: End) -> None:
+        """Ends the connection at once, and says so at once: what is told must not wait for the socket."""
+        if self.end is not None:
+            return
+        self.end = end
+        if self.transport is not None:
+            if end is End.STOPPING:
+                self.transport.close()      # what is ready goes out
+            else:
+                self.transport.abort()
+        self.ended()
+
+    def received(self, data: bytes) -> None:
+        raise NotImplementedError
+
+    def ended(self) -> None:
+        raise NotImplementedError
--- /dev/null
+++ b/ravenshelf/process/door.py
@@ -0,0 +1,149 @@
+"""Who comes to the pilot's address: strangers, collectors, and the streams of proxies."""
+from typing import Callable
+
+from loguru import logger
+
+from ravenshelf.memory.counters import Counters
+from ravenshelf.memory.deadlines import Deadlines
+from ravenshelf.memory.slots import Slots
+from ravenshelf.net import lines
+from ravenshelf.net.accepted import Accepted
+from ravenshelf.net.ends import COLLECTOR, STRANGER, STREAM, End, outcome
+from ravenshelf.net.lines import Malformed, Reader
+
+SILENCE = 30_000_000        # a stranger that says nothing for so long is shut out
+
+
+class Door:
+    def __init__(self, reader: Reader, slots: Slots, reserve: int, deadlines: Deadlines, counters: Counters,
+                 clock: Callable[[], int], news: Callable[[str, tuple], None]):
+        self.reader, self.slots, self.reserve, self.deadlines = reader, slots, reserve, deadlines
+        self.counters, self.clock, self.news = counters, clock, news
+        self.streams: dict[int, Accepted] = {}
+        self.strangers: dict[Accepted, None] = {}       # the one longest silent first
+        self.kinds = {"SUBSCRIBE": self._subscribe, "SOURCE": self._source, "LOAD": self._load,
+                      "RATE": self._rate, "ACK": self._ack}
+
+    # --- connections ---
+
+    def came(self, connection: Accepted) -> None:
+        self.counters["accepted"] += 1
+        if self.slots.size - len(self.slots) <= self.reserve and self.strangers:
+            next(iter(self.strangers)).close(End.CROWDED)
+        connection.slot = self.slots.take(connection)
+        if connection.slot is None:
+            connection.close(End.CROWDED)
+            return
+        self._as_stranger(connection)
+
+    def _as_stranger(self, connection: Accepted) -> None:
+        connection.purpose = STRANGER
+        self.strangers.pop(connection, None)
+        self.strangers[connection] = None
+        self.deadlines.set(("silent", connection.slot), self.clock() + SILENCE)
+
+    def _known(self, connection: Accepted, purpose: str) -> None:
+        connection.purpose = purpose
+        self.strangers.pop(connection, None)
+        self.deadlines.drop(("silent", connection.slot))
+
+    def silent(self, slot: int) -> None:
+        connection = self.slots.get(slot)
+        if connection is not None:
+            connection.close(End.SILENT)
+
+    def gone(self, connection: Accepted) -> None:
+        self.counters[f"{connection.purpose}_{connection.end.name.lower()}"] += 1
+        self.strangers.pop(connection, None)
+        self.deadlines.drop(("silent", connection.slot))
+        self.slots.give_back(connection.slot)
+        if connection.purpose == STREAM and self.streams.get(connection.proxy) is connection:
+            del self.streams[connection.proxy]
+            name = outcome(STREAM, connection.end)
+            if name is not None:
+                self.news(name, (connection.proxy,))
+
+    def write(self, proxy: int, message: bytes, ticket: int | None) -> None:
+        stream = self.streams.get(proxy)
+        if stream is not None:
+            if ticket is not None:
+                stream.tickets.add(ticket)
+            stream.write(message)
+
+    # --- messages ---
+
+    def said(self, connection: Accepted, line: bytes) -> None:
+        try:
+            kind, said = lines.words(line)
+            self.counters[f"took_{kind.lower()}" if kind in self.kinds or kind == lines.PING else "took_unknown"] += 1
+            if kind == lines.PING:
+                connection.write(lines.PONG)
+                if connection.purpose == STRANGER:
+                    self._as_stranger(connection)
+            elif kind in self.kinds:
+                self.kinds[kind](connection, said)
+            else:
+                raise Malformed("expected a kind of message that is known")
+        except Malformed as why:
+            self.counters["unreadable"] += 1
+            logger.warning("{} {} said {!r}: {}", connection.purpose, connection.peer, line[:120], why)
+            connection.close(End.UNREADABLE)
+
+    def _subscribe(self, connection: Accepted, said: dict) -> None:
+        values = self.reader.joined(said)
+        proxy = values[0]
+        if connection.purpose == COLLECTOR or connection.proxy not in (None, proxy):
+            raise Malformed("expected one proxy to a stream")
+        old = self.streams.get(proxy)
+        if connection.proxy is not None and old is not connection:
+            self.counters["stale"] += 1     # this stream was followed by a newer one
+            return
+        self.streams[proxy] = connection
+        connection.proxy, connection.tickets = proxy, set()
+        self._known(connection, STREAM)
+        if old is not None and old is not connection:
+            self.counters["stream_superseded"] += 1
+            self._as_stranger(old)      # its end, late as it may come, changes nothing any more
+        self.news("joined", values)
+
+    def _source(self, connection: Accepted, said: dict) -> None:
+        self.reader.zone(said)
+        if connection.proxy is not None:
+            raise Malformed("expected a stream or a collector, not both")
+        self._known(connection, COLLECTOR)
+
+    def _load(self, connection: Accepted, said: dict) -> None:
+        if connection.purpose != COLLECTOR:
+            raise Malformed("expected SOURCE before reports")
+        values = self.reader.heard(said)
+        if values is None:
+            self.counters["reports_of_unknown"] += 1
+            return
+        self.news("heard", values)
+
+    def _rate(self, connection: Accepted, said: dict) -> None:
+        values = self.reader.asked(said)
+        if self._stale(connection, values[0]):
+            return
+        self.news("asked", values)
+
+    def _ack(self, connection: Accepted, said: dict) -> None:
+        values = self.reader.applied(said)
+        if connection.purpose == COLLECTOR:
+            raise Malformed("expected marks on the stream of their proxy")
+        if self._stale(connection, values[0]):
+            return
+        if values[1] not in connection.tickets:
+            self.counters["acks_unasked"] += 1
+            return
+        connection.tickets.discard(values[1])
+        self.news("applied", values)
+
+    def _stale(self, connection: Accepted, proxy: int) -> bool:
+        """Whether this comes on a stream that is not (any more) the proxy's; then it says nothing of it."""
+        if connection.purpose == COLLECTOR or self.streams.get(proxy) is connection:
+            return False
+        if connection.proxy is None:
+            raise Malformed("expected SUBSCRIBE or SOURCE first")
+        self.counters["stale"] += 1
+        return True
--- /dev/null
+++ b/ravenshelf/process/pilot.py
@@ -0,0 +1,215 @@
+"""One pilot: what comes in over the network, the rounds, what goes out, and the end."""
+import asyncio
+import signal
+import time
+from typing import Callable
+
+from loguru import logger
+
+from ravenshelf.memory.buffers import Buffers
+from ravenshelf.memory.counters import Counters
+from ravenshelf.memory.deadlines import Deadlines
+from ravenshelf.memory.listing import Listing
+from ravenshelf.memory.sent import Sent
+from ravenshelf.memory.slots import Slots
+from ravenshelf.net import datagrams, lines
+from ravenshelf.net.accepted import Accepted
+from ravenshelf.net.catalog import Catalog
+from ravenshelf.net.ends import End
+from ravenshelf.net.http import Call
+from ravenshelf.process.discovery import Discovery
+from ravenshelf.process.door import Door
+from ravenshelf.process.probes import Probes
+from ravenshelf.process.rounds import Rounds
+from ravenshelf.provisioning import provisioning
+
+OWN = 32            # descriptors that the process itself needs
+CALLS = 64          # calls at discovery and endpoints that may be open at a time
+BACKLOG = 256
+
+
+class Pilot:
+    def __init__(self, configuration: dict, loop: asyncio.AbstractEventLoop, clock: Callable[[], int]):
+        self.configuration, self.loop, self.clock = configuration, loop, clock
+        settings = provisioning(configuration["settings"])
+        limits, sockets = settings.get("limits", {}), configuration.get("limits", {}).get("sockets", 1024)
+        pilots = int(settings.get("pilots") or 1)
+        proxies = int(settings.get("service", {}).get("proxy_count") or 0)
+        self.tick = int(settings.get("tick_us") or 1000)
+        self.counters, self.deadlines, self.buffers = Counters(), Deadlines(), Buffers()
+        calls = min(CALLS, sockets // 8)
+        accepted = sockets - OWN - calls
+        self.slots, self.calls = Slots(accepted), Slots(calls)
+        self.listing = Listing()
+        self.catalog = Catalog(settings, self.listing.endpoint)
+        self.sent = Sent(len(settings.get("traffic_groups", [])), pilots == 1)
+        self.rounds = Rounds(settings, int(str(configuration.get("seed", "0")), 16), self.listing, self.sent,
+                             self.counters)
+        self.discovery = Discovery(self.listing, self.catalog, self.counters, self.open_call, self.news,
+                                   settings.get("discovery") == "pushed")
+        self.discovery.extend = self.extend
+        self.discovery.later = lambda after: self.set_deadline(("watch",), self.clock() + after)
+        self.probes = Probes(settings, self.listing, self.counters, self.open_call, self.news, self.clock)
+        reader = lines.Reader(settings, self.listing.index.get)
+        # strangers leave room for every proxy's stream, its successor, and the collectors
+        reserve = min(accepted // 2, 2 * proxies + 16)
+        self.door = Door(reader, self.slots, reserve, self.deadlines, self.counters, clock, self.news)
+        self.peers: datagrams.Datagrams | None = None
+        self.may_tell = bool(limits.get("peer_messages"))
+        self.server: asyncio.Server | None = None
+        self.timer: asyncio.Handle | None = None
+        self.timer_at: int | None = None
+        self.ready, self.last_round, self.round_at, self.stopped = False, 0, 0, loop.create_future()
+
+    # --- deadlines and rounds ---
+
+    def set_deadline(self, key, at: int) -> None:
+        self.deadlines.set(key, at)
+        self.arm()
+
+    def arm(self) -> None:
+        """One timer of the loop, for the earliest deadline."""
+        at = self.deadlines.next()
+        if at is None or (self.timer is not None and self.timer_at is not None and self.timer_at <= at):
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer_at, wait = at, at - self.clock()
+        self.timer = self.loop.call_later(wait / 1e6, self.turn) if wait > 0 else self.loop.call_soon(self.turn)
+
+    def turn(self) -> None:
+        self.timer = self.timer_at = None
+        now = self.clock()
+        for key in self.deadlines.due(now):
+            if key[0] == "wake":
+                self.news("woken", (key[2],))
+            elif key[0] == "silent":
+                self.door.silent(key[1])
+            elif key[0] == "call":
+                call = self.calls.get(key[1])
+                if call is not None:
+                    call.close(End.SILENT)
+            elif key[0] == "watch":
+                self.discovery.begin()
+            elif key[0] == "round":
+                self.round()
+        self.arm()
+
+    def news(self, name: str, values: tuple) -> None:
+        self.rounds.hear(name, values)
+        if self.ready and ("round",) not in self.deadlines.at:
+            self.round_at = max(self.clock(), self.last_round + self.tick)
+            self.set_deadline(("round",), self.round_at)
+
+    def round(self) -> None:
+        """Hands all that came in to the module, and does what it ordered."""
+        now = self.clock()
+        self.counters.most("loop_lag_most_us", now - self.round_at)
+        self.last_round, began = now, time.perf_counter_ns()
+        calls = self.rounds.run(now, self.door.write)
+        if calls is None:
+            self.round_at = now + self.tick
+            self.deadlines.set(("round",), self.round_at)
+        self.counters.most("round_most_us", (time.perf_counter_ns() - began) // 1000)
+        for name, *values in calls or ():
+            self.do(name, values, now)
+
+    def do(self, name: str, values: list, now: int) -> None:
+        if name == "wake":
+            self.set_deadline(("wake", *values), max(values[0], now + 1))
+        elif name == "log":
+            logger.info("decisions: {}", values[0])
+        elif name == "observe":
+            self.discovery.observe(values[0])
+        elif name == "fetch":
+            self.discovery.fetch()
+        elif name == "probe":
+            self.probes.begin(values[0])
+        elif name == "tell":
+            sent = self.may_tell and self.peers is not None and self.peers.send(*values)
+            self.counters["datagrams_sent" if sent else "datagrams_not_sent"] += 1
+
+    # --- calls to others ---
+
+    def open_call(self, purpose: str, path: str, done: Callable, piece: Callable | None, by: int,
+                  host: str | None = None) -> Call:
+        def ended(call: Call) -> None:
+            self.deadlines.drop(("call", call.slot))
+            self.calls.give_back(call.slot)
+            done(call)
+
+        call = Call(self.buffers, host or self.configuration["discovery"], path, ended, piece)
+        call.slot = self.calls.take(call)
+        if call.slot is None:
+            self.loop.call_soon(call.close, End.CROWDED)
+        else:
+            self.set_deadline(("call", call.slot), self.clock() + by)
+            call.dial(self.loop)
+        return call
+
+    def extend(self, call: Call, time: int) -> None:
+        if call.slot is not None and call.end is None:
+            self.deadlines.set(("call", call.slot), self.clock() + time)
+
+    def told(self, peer: int | None, data: bytes) -> None:
+        if peer is None:
+            self.counters["datagrams_of_strangers"] += 1
+        else:
+            self.counters["datagrams_taken"] += 1
+            self.news("told", (peer, data))
+
+    # --- start and stop ---
+
+    async def start(self) -> None:
+        """The list that was known comes first; only after it is anyone accepted."""
+        known = self.configuration.get("known")
+        if known is not None:
+            entries, addresses, broken = self.catalog.entries(known["targets"])
+            self.listing.take("replace", known["rev"], [e for e in entries if e[4] != "gone"], addresses)
+            for _, why in broken:
+                logger.warning("a broken entry of the known list: {}", why)
+        self.rounds.begin()
+        self.ready, self.round_at = True, self.clock()
+        self.round()
+        if self.discovery.pushed:
+            self.discovery.begin()
+        if self.configuration.get("peer_listen"):
+            peers, everyone = self.configuration.get("peers") or [], self.configuration.get("peers_all")
+            _, self.peers = await self.loop.create_datagram_endpoint(
+                lambda: datagrams.Datagrams(peers, everyone, self.told),
+                local_addr=datagrams.address(self.configuration["peer_listen"]))
+        host, port = datagrams.address(self.configuration["listen"])
+        self.server = await self.loop.create_server(lambda: Accepted(self.buffers, self.door), host, port,
+                                                    backlog=BACKLOG)
+        self.arm()
+
+    def stop(self) -> None:
+        """Takes no more, writes what is ready, and lets the process end."""
+        if self.stopped.done():
+            return
+        if self.server is not None:
+            self.server.close()
+        for connection in list(self.slots.held.values()):
+            connection.close(End.STOPPING)
+        for call in list(self.calls.held.values()):
+            call.close(End.STOPPING)
+        self.stopped.set_result(None)
+
+    def count(self) -> None:
+        usage = {"connections": len(self.slots), "proxies": len(self.door.streams), "calls": len(self.calls),
+                 "endpoints": len(self.listing.entries), "deadlines": len(self.deadlines.at)}
+        now = " ".join(f"{name}={value}" for name, value in usage.items())
+        logger.log("SUCCESS", "counters: {} {}", now, self.counters.text())
+
+
+async def serve(configuration: dict, clock: Callable[[], int]) -> None:
+    loop = asyncio.get_running_loop()
+    pilot = Pilot(configuration, loop, clock)
+    loop.add_signal_handler(signal.SIGTERM, pilot.stop)
+    loop.add_signal_handler(signal.SIGINT, pilot.stop)
+    loop.add_signal_handler(signal.SIGUSR1, pilot.count)
+    await pilot.start()
+    logger.info("{} serves at {}", configuration.get("name"), configuration["listen"])
+    await pilot.stopped
+    pilot.count()
+    await asyncio.sleep(0)
--- /dev/null
+++ b/ravenshelf/process/probes.py
@@ -0,0 +1,42 @@
+"""Probes: one answer for each, from /_load where the deployment has reports, else from /ping."""
+from typing import Callable
+
+from ravenshelf.memory.counters import Counters
+from ravenshelf.memory.listing import Listing
+from ravenshelf.net.ends import PROBE, End, outcome
+from ravenshelf.net.http import Call
+from ravenshelf.net.lines import load_report, pairs
+
+ANSWER_MORE = 1_000_000     # an answer may take so much longer than the dial
+
+
+class Probes:
+    def __init__(self, provisioning: dict, listing: Listing, counters: Counters, open_call: Callable,
+                 news: Callable, clock: Callable[[], int]):
+        limits, telemetry = provisioning.get("limits", {}), provisioning.get("telemetry", {})
+        self.allowed = bool(limits.get("probing"))
+        self.by = int(limits.get("dial_timeout_us") or 250_000) + ANSWER_MORE
+        self.reports = telemetry.get("how", "none") != "none"
+        self.columns = telemetry.get("columns", [])
+        self.listing, self.counters, self.open_call = listing, counters, open_call
+        self.news, self.clock = news, clock
+
+    def begin(self, endpoint: int) -> None:
+        address = self.listing.addresses.get(endpoint)
+        if not self.allowed or address is None:
+            self.counters["probes_not_sent"] += 1
+            if self.allowed:
+                self.news("probed", (endpoint, False, 0, ()))
+            return
+        self.counters["probes_sent"] += 1
+        began, path = self.clock(), "/_load" if self.reports else "/ping"
+        self.open_call(PROBE, path, lambda call: self._ended(call, endpoint, began), None, self.by, address)
+
+    def _ended(self, call: Call, endpoint: int, began: int) -> None:
+        name = outcome(PROBE, call.end)
+        if name is None:
+            return
+        good = call.end is End.ANSWERED
+        text = call.body.decode("utf-8", "replace").strip() if good and self.reports else ""
+        report = load_report(pairs(text, "="), self.columns)
+        self.news(name, (endpoint, good, self.clock() - began, report))
--- /dev/null
+++ b/ravenshelf/process/rounds.py
@@ -0,0 +1,80 @@
+"""The round: what came in goes to the module in one call, what it ordered goes out as one message a proxy."""
+from typing import Callable
+
+from loguru import logger
+
+from ravenshelf.memory.counters import Counters
+from ravenshelf.memory.listing import Listing
+from ravenshelf.memory.sent import Sent
+from ravenshelf.net import lines
+from ravenshelf.rules import Controller
+
+
+class Rounds:
+    def __init__(self, provisioning: dict, seed: int, listing: Listing, sent: Sent, counters: Counters):
+        self.provisioning, self.seed = provisioning, seed
+        self.listing, self.sent, self.counters = listing, sent, counters
+        self.names = [g.get("name") for g in provisioning.get("traffic_groups", [])]
+        self.head = provisioning.get("service", {}).get("envelope", 0)
+        self.joined: dict[int, tuple] = {}      # what was last said of each joined proxy
+        self.news: list[tuple[str, tuple]] = []
+        self.failures = 0
+        self.controller = Controller(provisioning, seed)
+
+    def begin(self) -> None:
+        """The list as this pilot last had it comes first, then whoever is joined already."""
+        self.news = [("listed", ("restored", self.listing.whole()))]
+        self.news += [("joined", (*values[:3], False)) for values in self.joined.values()]
+
+    def hear(self, name: str, values: tuple) -> None:
+        if name == "joined":
+            if values[0] in self.joined:
+                self.hear("left", (values[0],))
+            self.joined[values[0]] = values
+            self.sent.joined(values[0], values[3])
+        elif name == "left":
+            self.joined.pop(values[0], None)
+            self.sent.left(values[0])
+        self.news.append((name, values))
+
+    def run(self, now: int, write: Callable[[int, bytes, int | None], None]) -> list[tuple] | None:
+        """Plays a round; gives the calls that are not messages, or None where the module failed."""
+        news, self.news = self.news, []
+        channel = self.controller.channel
+        channel.drain(now)
+        before = channel.waiting
+        try:
+            self.controller.round(now, news, self.sent)
+            calls, wakes, ticket = self.sent.calls, self.sent.wakes, self.sent.ticket
+            messages = [(proxy, parts, lines.config(parts, self.listing.names, self.names))
+                        for proxy, parts in self.sent.messages()]
+        except Exception:
+            logger.exception("the module failed in a round with {}", [name for name, _ in news][:20])
+            self._start_over()
+            return None
+        written = 0
+        for proxy, parts, message in messages:
+            count = sum(part.count() for part in parts)
+            written += count + self.head
+            self.counters["messages_sent"] += 1
+            self.counters["lines_sent"] += count
+            self.counters["bytes_sent"] += len(message)
+            write(proxy, message, ticket)
+        charged = channel.waiting - before
+        self.counters["lines_charged"] += charged
+        self.counters["lines_written"] += written
+        if written > charged + 1e-6:    # never may the module think the queue shorter than it is
+            self.counters["lines_beyond_charge"] += written - charged
+            channel.waiting += written - charged
+        self.counters["rounds"] += 1
+        return [*calls, *(("wake", at, key) for at, key in wakes)]
+
+    def _start_over(self) -> None:
+        """A module that failed half-way may believe in orders that never went out: a new one begins.
+
+        Safer than to go on with it, and than to end: the proxies' streams stay, and the new one binds them all."""
+        self.failures += 1
+        self.counters["module_failures"] += 1
+        self.controller = Controller(self.provisioning, self.seed + self.failures)
+        self.sent.forget()
+        self.begin()
--- /dev/null
+++ b/ravenshelf/process/run.py
@@ -0,0 +1,22 @@
+"""The process: its log, its loop, its exit code."""
+import gc
+
+import uvloop
+from loguru import logger
+
+from ravenshelf.process import logs
+from ravenshelf.process.clock import Clock
+from ravenshelf.process.pilot import serve
+
+
+def run(configuration: dict, level: str) -> int:
+    sink = logs.start(level)
+    gc.freeze()     # what start has made stays; collections need not look at it again
+    try:
+        uvloop.run(serve(configuration, Clock()))
+        code = 0
+    except Exception:
+        logger.exception("the pilot can't go on")
+        code = 1
+    sink.finish(0.3)
+    return code
--- a/ravenshelf/wirehost/decode.py
+++ b/ravenshelf/wirehost/decode.py
@@ -3,42 +3,16 @@
 import binascii
 import json
 
+from ravenshelf.provisioning import provisioning
+
 STATES = ("ready", "draining", "gone")
 LISTS = ("update", "replace", "restored", "unavailable")
-WORDS = {
-    "azs": "zones", "balancers": "pilots", "classes": "traffic_groups", "objective": "latency_budget",
-    "deadline": "expiry", "importance": "utility", "late_worth": "late_utility",
-    "memory_span": "dedupe_window", "idempotency": "effect",
-    "key_scope": "dedupe_scope", "family_info": "service", "family": "service_kind",
-}
-EFFECTS = {"pure": "retriable", "token": "deduped", "side_effect": "non-retriable"}
 
 
 class Malformed(Exception):
     """What the wire must not say; the text names the line and what was expected."""
 
 
-def provisioning(raw):
-    """The settings as a plain map in our words; what is not known here is handed on as it is."""
-    if isinstance(raw, list):
-        return [provisioning(item) for item in raw]
-    if not isinstance(raw, dict):
-        return raw
-    out = {}
-    for name, value in raw.items():
-        stem = name.replace("-", "_")
-        timed = stem.endswith("_ms") and isinstance(value, (int, float)) and not isinstance(value, bool)
-        stem = stem[:-3] if timed else stem
-        word = WORDS.get(stem, stem)
-        if timed:
-            out[word + "_us"] = round(value * 1000)
-        elif word == "effect":
-            out[word] = EFFECTS.get(value, "non-retriable")
-        else:
-            out[word] = provisioning(value)
-    return out
-
-
 def number(text):
     value = float(text)
     if value != value or value in (float("inf"), float("-inf")):
