--- a/ravenshelf/__main__.py
+++ b/ravenshelf/__main__.py
@@ -21,10 +21,14 @@
 
 
 @app.command()
-def serve(config: Config = None, log_level: Annotated[str, typer.Option(help="Least level of log lines.")] = "INFO"):
-    """Run one pilot until SIGTERM. SIGUSR1 prints its counters."""
+def serve(
+    config: Config = None,
+    log_level: Annotated[str, typer.Option(help="Least level of log lines.")] = "INFO",
+    counters_every: Annotated[float, typer.Option(help="Seconds between prints of the counters; 0: none.")] = 0,
+):
+    """Run one pilot until SIGTERM. Its counters are printed at the end and on SIGUSR1."""
     from ravenshelf.process import run
-    raise typer.Exit(run.run(read(config), log_level.upper()))
+    raise typer.Exit(run.run(read(config), log_level.upper(), counters_every))
 
 
 @app.command()
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -59,6 +59,7 @@
         self.server: asyncio.Server | None = None
         self.timer: asyncio.Handle | None = None
         self.timer_at: int | None = None
+        self.counters_every = 0
         self.ready, self.last_round, self.round_at, self.stopped = False, 0, 0, loop.create_future()
 
     # --- deadlines and rounds ---
@@ -93,6 +94,9 @@
                 self.discovery.begin()
             elif key[0] == "round":
                 self.round()
+            elif key[0] == "count":
+                self.count()
+                self.deadlines.set(key, now + self.counters_every)
         self.arm()
 
     def news(self, name: str, values: tuple) -> None:
@@ -181,6 +185,8 @@
         host, port = datagrams.address(self.configuration["listen"])
         self.server = await self.loop.create_server(lambda: Accepted(self.buffers, self.door), host, port,
                                                     backlog=BACKLOG)
+        if self.counters_every:
+            self.deadlines.set(("count",), self.clock() + self.counters_every)
         self.arm()
 
     def stop(self) -> None:
@@ -202,9 +208,10 @@
         logger.log("SUCCESS", "counters: {} {}", now, self.counters.text())
 
 
-async def serve(configuration: dict, clock: Callable[[], int]) -> None:
+async def serve(configuration: dict, clock: Callable[[], int], counters_every: int = 0) -> None:
     loop = asyncio.get_running_loop()
     pilot = Pilot(configuration, loop, clock)
+    pilot.counters_every = counters_every
     loop.add_signal_handler(signal.SIGTERM, pilot.stop)
     loop.add_signal_handler(signal.SIGINT, pilot.stop)
     loop.add_signal_handler(signal.SIGUSR1, pilot.count)
--- a/ravenshelf/process/run.py
+++ b/ravenshelf/process/run.py
@@ -9,11 +9,11 @@
 from ravenshelf.process.pilot import serve
 
 
-def run(configuration: dict, level: str) -> int:
+def run(configuration: dict, level: str, counters_every: float) -> int:
     sink = logs.start(level)
     gc.freeze()     # what start has made stays; collections need not look at it again
     try:
-        uvloop.run(serve(configuration, Clock()))
+        uvloop.run(serve(configuration, Clock(), round(counters_every * 1e6)))
         code = 0
     except Exception:
         logger.exception("the pilot can't go on")
