--- a/ravenshelf/memory/sent.py
+++ b/ravenshelf/memory/sent.py
@@ -32,11 +32,11 @@
         self.settled: set[int] = set()      # endpoints of which this stream has said out or back
         self.unknown, self.past = unknown, past
         self.rebound: set[int] = set()
-        self.asked: set[int] = set()        # withdrawals of this round that concern it
+        self.asked: set[int] = set()        # endpoints whose withdrawal this round has changed, or made sure of
 
-    def doubtful(self, endpoint: int) -> bool:
-        """Whether it may still shut out an endpoint by an order from before this stream."""
-        return endpoint not in self.settled and (self.unknown or endpoint in self.past)
+    def shuts_out(self, endpoint: int) -> bool:
+        """Whether it shuts out an endpoint by an order of this pilot's, of this stream or of one before."""
+        return endpoint in self.out or (endpoint in self.past and endpoint not in self.settled)
 
 
 class Sent:
@@ -98,9 +98,7 @@
     def bench(self, endpoint: int, out: bool) -> None:
         (self.benched.add if out else self.benched.discard)(endpoint)
         for held in self.proxies.values():
-            tables = set(held.bound.values())
-            if len(held.bound) < len(self.groups) or any(endpoint in self.tables.get(t, ()) for t in tables):
-                held.asked.add(endpoint)
+            held.asked.add(endpoint)
 
     def bind(self, proxy: int, table: int, groups: int = 0) -> None:
         if proxy not in self.proxies:
@@ -138,6 +136,19 @@
     def log(self, text: str) -> None:
         self.calls.append(("log", text))
 
+    # --- what a proxy may have kept of other pilots, or of this one before it restarted ---
+
+    def doubts(self, proxy: int) -> list[int]:
+        """Endpoints in its tables that it may shut out by an order that this pilot does not know of."""
+        held = self.proxies[proxy]
+        if not held.unknown:
+            return []
+        known = {e for table in set(held.bound.values()) for e in self.tables.get(table, ())}
+        return sorted(known - held.settled - self.benched)
+
+    def let_back(self, proxy: int, endpoints: list[int]) -> None:
+        self.proxies[proxy].asked.update(endpoints)
+
     # --- the round's messages ---
 
     def messages(self) -> list[tuple[int, list[Part]]]:
@@ -202,12 +213,15 @@
                 parts.append(Part(named, level=level))
 
     def _withdrawals(self, held: Held, added) -> tuple[list[int], list[int]]:
+        """As few lines as do: of what lies in its tables after this round, all where they are not known."""
         out, back = [], []
-        for e in dict.fromkeys([*held.asked, *added]):
+        tables = [self.tables.get(t, {}) for t in set(held.bound.values())]
+        anything = len(held.bound) < len(self.groups)
+        for e in sorted({*held.asked, *added}):
             if e in self.benched:
-                if e in held.asked or e not in held.out:
+                if e not in held.out and (anything or any(e in lines for lines in tables)):
                     out.append(e)
-            elif e in held.asked or e in held.out or held.doubtful(e):
+            elif held.shuts_out(e) or (held.unknown and e in held.asked and e not in held.settled):
                 back.append(e)
         held.settled.update(out, back)
         held.out.update(out)
--- a/ravenshelf/net/accepted.py
+++ b/ravenshelf/net/accepted.py
@@ -6,7 +6,8 @@
 from ravenshelf.net.lines import MOST_LINE
 from ravenshelf.net.reading import Reading
 
-MOST_UNSENT = 1024 * 1024   # one message may hold so much; a reader that lags by more is not reading
+MOST_UNSENT = 256 * 1024    # waiting beyond the socket before one more message; who lags by more is not reading
+MOST_UNKNOWN = 64 * 1024    # a stranger's line: many of them together must not fill the memory
 
 
 class Owner(Protocol):
@@ -18,9 +19,10 @@
 class Accepted(Reading):
     def __init__(self, buffers: Buffers, owner: Owner):
         super().__init__(buffers)
-        self.owner, self.pieces, self.unfinished = owner, [], 0
+        self.owner, self.rest = owner, bytearray()
         self.slot: int | None = None
         self.purpose, self.proxy, self.tickets, self.peer = STRANGER, None, set(), ""
+        self.followed = False       # a newer connection has taken its place
 
     def connection_made(self, transport) -> None:
         self.transport = transport
@@ -28,20 +30,23 @@
         self.owner.came(self)
 
     def received(self, data: bytes) -> None:
-        *lines, rest = data.split(b"\n")
-        for line in lines:
-            self.pieces.append(line)
-            line, self.pieces, self.unfinished = b"".join(self.pieces), [], 0
-            if len(line) > MOST_LINE:
-                return self.close(End.TOO_LONG)
-            self.owner.said(self, line.removesuffix(b"\r"))
+        looked = len(self.rest)
+        self.rest += data
+        while (end := self.rest.find(b"\n", looked)) >= 0:
+            line = bytes(self.rest[:end]).removesuffix(b"\r")
+            del self.rest[:end + 1]
+            looked = 0
+            if self._too_long(len(line)):
+                return
+            self.owner.said(self, line)
             if self.end is not None:
                 return
-        if rest:
-            self.pieces.append(rest)
-            self.unfinished += len(rest)
-            if self.unfinished > MOST_LINE:
-                self.close(End.TOO_LONG)
+        self._too_long(len(self.rest))
+
+    def _too_long(self, size: int) -> bool:
+        if size > (MOST_UNKNOWN if self.purpose == STRANGER else MOST_LINE):
+            self.close(End.TOO_LONG)
+        return self.end is not None
 
     def write(self, data: bytes) -> None:
         if self.end is not None:
@@ -51,5 +56,5 @@
         self.transport.write(data)
 
     def ended(self) -> None:
-        self.pieces, self.unfinished = [], 0
+        self.rest = bytearray()
         self.owner.gone(self)
--- a/ravenshelf/net/http.py
+++ b/ravenshelf/net/http.py
@@ -18,7 +18,7 @@
         super().__init__(buffers)
         self.host, self.path, self.done, self.piece = host, path, done, piece
         self.parser = httptools.HttpResponseParser(self)
-        self.status, self.size, self.chunks, self.complete = 0, 0, [], False
+        self.status, self.size, self.chunks, self.complete, self.sized = 0, 0, [], False, False
         self.slot: int | None = None
         self.dialing: asyncio.Task | None = None
 
@@ -48,7 +48,10 @@
         super().close(end)
 
     def eof_received(self) -> bool:
-        return False        # a body without a length ends here: connection_lost tells
+        if self.status and not self.sized:      # a body without a length ends with its connection
+            self.complete = True
+            self.close(End.ANSWERED if self.status == 200 else End.DECLINED)
+        return False
 
     def received(self, data: bytes) -> None:
         try:
@@ -59,6 +62,9 @@
         if self.complete:
             self.close(End.ANSWERED if self.status == 200 else End.DECLINED)
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.sized = self.sized or name.lower() in (b"content-length", b"transfer-encoding")
+
     def on_headers_complete(self) -> None:
         self.status = self.parser.get_status_code()
 
--- a/ravenshelf/process/door.py
+++ b/ravenshelf/process/door.py
@@ -20,6 +20,7 @@
         self.reader, self.slots, self.reserve, self.deadlines = reader, slots, reserve, deadlines
         self.counters, self.clock, self.news = counters, clock, news
         self.streams: dict[int, Accepted] = {}
+        self.collectors: dict[int, Accepted] = {}       # the newest of each zone
         self.strangers: dict[Accepted, None] = {}       # the one longest silent first
         self.kinds = {"SUBSCRIBE": self._subscribe, "SOURCE": self._source, "LOAD": self._load,
                       "RATE": self._rate, "ACK": self._ack}
@@ -34,19 +35,25 @@
         if connection.slot is None:
             connection.close(End.CROWDED)
             return
-        self._as_stranger(connection)
+        self._spoke(connection)
 
-    def _as_stranger(self, connection: Accepted) -> None:
-        connection.purpose = STRANGER
+    def _spoke(self, connection: Accepted) -> None:
         self.strangers.pop(connection, None)
         self.strangers[connection] = None
         self.deadlines.set(("silent", connection.slot), self.clock() + SILENCE)
 
     def _known(self, connection: Accepted, purpose: str) -> None:
-        connection.purpose = purpose
+        connection.purpose, connection.followed = purpose, False
         self.strangers.pop(connection, None)
         self.deadlines.drop(("silent", connection.slot))
 
+    def _followed(self, connection: Accepted) -> None:
+        """A newer one has come in its place; it stays while it speaks, for the pilot ends nothing without need."""
+        connection.followed = True
+        self.counters[f"{connection.purpose}_followed"] += 1
+        self.strangers[connection] = None
+        self.deadlines.set(("silent", connection.slot), self.clock() + SILENCE)
+
     def silent(self, slot: int) -> None:
         connection = self.slots.get(slot)
         if connection is not None:
@@ -57,6 +64,7 @@
         self.strangers.pop(connection, None)
         self.deadlines.drop(("silent", connection.slot))
         self.slots.give_back(connection.slot)
+        self.collectors = {zone: c for zone, c in self.collectors.items() if c is not connection}
         if connection.purpose == STREAM and self.streams.get(connection.proxy) is connection:
             del self.streams[connection.proxy]
             name = outcome(STREAM, connection.end)
@@ -73,13 +81,13 @@
     # --- messages ---
 
     def said(self, connection: Accepted, line: bytes) -> None:
+        if connection.purpose == STRANGER or connection.followed:
+            self._spoke(connection)
         try:
             kind, said = lines.words(line)
             self.counters[f"took_{kind.lower()}" if kind in self.kinds or kind == lines.PING else "took_unknown"] += 1
             if kind == lines.PING:
                 connection.write(lines.PONG)
-                if connection.purpose == STRANGER:
-                    self._as_stranger(connection)
             elif kind in self.kinds:
                 self.kinds[kind](connection, said)
             else:
@@ -102,15 +110,18 @@
         connection.proxy, connection.tickets = proxy, set()
         self._known(connection, STREAM)
         if old is not None and old is not connection:
-            self.counters["stream_superseded"] += 1
-            self._as_stranger(old)      # its end, late as it may come, changes nothing any more
+            self._followed(old)         # its end, late as it may come, changes nothing any more
         self.news("joined", values)
 
     def _source(self, connection: Accepted, said: dict) -> None:
-        self.reader.zone(said)
+        zone = self.reader.zone(said)
         if connection.proxy is not None:
             raise Malformed("expected a stream or a collector, not both")
+        old = self.collectors.get(zone)
+        self.collectors[zone] = connection
         self._known(connection, COLLECTOR)
+        if old is not None and old is not connection:
+            self._followed(old)
 
     def _load(self, connection: Accepted, said: dict) -> None:
         if connection.purpose != COLLECTOR:
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -26,6 +26,7 @@
 OWN = 32            # descriptors that the process itself needs
 CALLS = 64          # calls at discovery and endpoints that may be open at a time
 BACKLOG = 256
+AFTER_FAILURE = 250_000
 
 
 class Pilot:
@@ -111,8 +112,8 @@
         self.counters.most("loop_lag_most_us", now - self.round_at)
         self.last_round, began = now, time.perf_counter_ns()
         calls = self.rounds.run(now, self.door.write)
-        if calls is None:
-            self.round_at = now + self.tick
+        if calls is None:       # a module that fails at every start must not take the whole core
+            self.round_at = now + AFTER_FAILURE
             self.deadlines.set(("round",), self.round_at)
         self.counters.most("round_most_us", (time.perf_counter_ns() - began) // 1000)
         for name, *values in calls or ():
--- a/ravenshelf/process/rounds.py
+++ b/ravenshelf/process/rounds.py
@@ -44,6 +44,7 @@
         channel.drain(now)
         before = channel.waiting
         try:
+            self._settle(channel)
             self.controller.round(now, news, self.sent)
             calls, wakes, ticket = self.sent.calls, self.sent.wakes, self.sent.ticket
             messages = [(proxy, parts, lines.config(parts, self.listing.names, self.names))
@@ -69,6 +70,16 @@
         self.counters["rounds"] += 1
         return [*calls, *(("wake", at, key) for at, key in wakes)]
 
+    def _settle(self, channel) -> None:
+        """Lets back what proxies may shut out by orders that are not known here, as the channel has room for it.
+
+        Not with the table itself: when all proxies come at once, twice the lines would overfill the channel."""
+        for proxy in self.sent.proxies:
+            doubts = self.sent.doubts(proxy)
+            if doubts and channel.room(len(doubts), [proxy], False):
+                self.sent.let_back(proxy, doubts)
+                channel.charge([proxy], len(doubts))
+
     def _start_over(self) -> None:
         """A module that failed half-way may believe in orders that never went out: a new one begins.
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,14 @@
 """The one file of helpers: a writer that keeps what the orders amount to, and a pilot that is driven by hand."""
 import pytest
 
+from ravenshelf.memory.buffers import Buffers
+from ravenshelf.memory.counters import Counters
+from ravenshelf.memory.deadlines import Deadlines
+from ravenshelf.memory.slots import Slots
+from ravenshelf.net.accepted import Accepted
+from ravenshelf.net.lines import Reader
+from ravenshelf.process.door import Door
+from ravenshelf.provisioning import provisioning
 from ravenshelf.rules import SECOND, Controller
 
 GROUPS = [
@@ -87,3 +95,78 @@
         made.hear(*[("joined", (i, i // 2, 10.0, True)) for i in range(proxies)])
         return made
     return make
+
+
+SETTINGS = {
+    "azs": ["a", "b"], "balancers": 1, "me": 0, "kinds": ["m1", "m2"], "discovery": "on_request", "tick-ms": 4.0,
+    "classes": [{"name": "look", "objective-ms": 1200.0, "idempotency": "pure", "importance": 1.0},
+                {"name": "pay", "objective-ms": 800.0, "idempotency": "side_effect", "importance": 5.0}],
+    "family-info": {"lines-per-s": 1000.0, "most-waiting": 2000, "proxy-count": 4, "envelope": 3.0, "by-zone": True,
+                    "level-kind": "per_second", "late-most-ms": 300.0, "messages-most": 30, "counted-over-ms": 10000.0},
+    "telemetry": {"how": "answers", "columns": ["active"]}, "limits": {"probing": True, "dial-timeout-ms": 250.0},
+    "rules": {"cold-share": 0.2, "fall-multiple": 4.0}, "weights": "rough",
+}
+
+
+def target(uid, az="a", state="SERVING", **more):
+    return {"uid": uid, "endpoint": "127.0.0.1:9", "az": az, "model": "m1", "pod_group": 0, "state": state,
+            "capacity_hint": 4.0, "boot_ms": 0} | more
+
+
+class Wire:
+    """A transport that keeps what is written and how it was ended."""
+
+    def __init__(self, unsent=0):
+        self.written, self.ended, self.unsent = b"", None, unsent
+
+    def write(self, data):
+        self.written += data
+
+    def abort(self):
+        self.ended = "abort"
+
+    def close(self):
+        self.ended = "close"
+
+    def get_write_buffer_size(self):
+        return self.unsent
+
+    def get_extra_info(self, name):
+        return ("127.0.0.1", 1)
+
+
+def feed(connection, data):
+    """Bytes come in, as a loop would bring them."""
+    for start in range(0, len(data), 16384):
+        piece = data[start:start + 16384]
+        connection.get_buffer(-1)[:len(piece)] = piece
+        connection.buffer_updated(len(piece))
+
+
+class Entry:
+    """The door of a pilot, with a clock set by hand and the module's news kept."""
+
+    def __init__(self, slots=64, reserve=4):
+        self.now, self.told, self.counters, self.deadlines = 0, [], Counters(), Deadlines()
+        self.reader = Reader(provisioning(SETTINGS), {"s-1": 0, "s-2": 1}.get)
+        self.slots = Slots(slots)
+        self.door = Door(self.reader, self.slots, reserve, self.deadlines, self.counters, lambda: self.now,
+                         lambda name, values: self.told.append((name, values)))
+        self.buffers = Buffers()
+
+    def connect(self, *said, unsent=0):
+        connection = Accepted(self.buffers, self.door)
+        connection.connection_made(Wire(unsent))
+        for line in said:
+            feed(connection, line.encode() + b"\r\n")
+        return connection
+
+    def pass_time(self, seconds):
+        self.now += round(seconds * SECOND)
+        for key in self.deadlines.due(self.now):
+            self.door.silent(key[1])
+
+
+@pytest.fixture
+def entry():
+    return Entry
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,233 @@
+import random
+
+import pytest
+
+from ravenshelf.interface import EVERYWHERE
+from ravenshelf.memory.buffers import SIZE, Buffers
+from ravenshelf.memory.counters import Counters
+from ravenshelf.memory.deadlines import Deadlines
+from ravenshelf.memory.listing import Listing
+from ravenshelf.memory.sent import Part, Sent
+from ravenshelf.memory.slots import Slots
+
+
+def test_slots_are_given_again_and_run_out():
+    slots = Slots(2)
+    assert [slots.take("a"), slots.take("b"), slots.take("c")] == [0, 1, None]
+    slots.give_back(0)
+    slots.give_back(0)
+    slots.give_back(None)
+    assert (slots.take("d"), len(slots), slots.get(0), slots.get(7)) == (0, 2, "d", None)
+
+
+def test_deadlines_come_in_order_and_once():
+    deadlines, chance = Deadlines(), random.Random(3)
+    for n in range(2000):       # moved over and over: what no longer counts must not pile up
+        deadlines.set(n % 20, chance.randrange(1000, 2000))
+    for n in range(20):
+        deadlines.set(n, 500 - n)
+    deadlines.drop(3)
+    assert deadlines.next() == 481 and len(deadlines.heap) < 200
+    assert deadlines.due(490) == [19, 18, 17, 16, 15, 14, 13, 12, 11, 10]
+    assert deadlines.due(10_000) == [9, 8, 7, 6, 5, 4, 2, 1, 0] and deadlines.next() is None
+
+
+def test_buffers_have_one_size_and_are_used_again():
+    buffers = Buffers()
+    first = buffers.lend()
+    assert len(first) == SIZE and buffers.lend() is not first
+    buffers.take_back(first)
+    assert buffers.lend() is first
+
+
+def test_counters_keep_the_most():
+    counters = Counters(b=2)
+    counters.most("a", 5)
+    counters.most("a", 3)
+    assert counters.text() == "a=5 b=2"
+
+
+def entry(index, state="ready"):
+    return index, 0, 0, 0, state, 1.0, 0
+
+
+@pytest.mark.parametrize("how, rev, after, taken, left", [
+    ("update", 6, 5, ("update", (entry(0, "gone"),)), [1]),
+    ("update", 9, 4, ("update", (entry(0, "gone"),)), [1]),
+    ("update", 5, 4, None, [0, 1]),         # a watch that a fetched list has overtaken
+    ("update", 7, 6, "gap", [0, 1]),
+    ("replace", 7, None, ("replace", (entry(0, "gone"),)), []),
+    ("replace", 5, None, ("replace", (entry(0, "gone"),)), []),
+    ("replace", 4, None, None, [0, 1]),     # an older list overwrites nothing
+])
+def test_the_list_is_followed_by_version(how, rev, after, taken, left):
+    listing = Listing()
+    listing.take("replace", 5, [entry(0), entry(1)], {0: "x", 1: "y"})
+    assert listing.take(how, rev, [entry(0, "gone")], {}, after) == taken
+    assert sorted(listing.entries) == left == sorted(listing.addresses)
+
+
+def test_an_endpoint_keeps_its_index():
+    listing = Listing()
+    assert [listing.endpoint(n) for n in ("s-1", "s-2", "s-1")] == [0, 1, 0] and listing.names == ["s-1", "s-2"]
+
+
+# --- the writer ---
+
+@pytest.fixture
+def sent():
+    """Table 0 holds endpoints 0 and 1; proxy 1 is bound to it, proxy 2 to table 1 with endpoint 2 alone."""
+    made = Sent(groups=2, alone=True)
+    for proxy in (1, 2):
+        made.joined(proxy, True)
+    for endpoint in (0, 1):
+        made.line(0, endpoint, 1.5)
+    made.line(1, 2, 1.0)
+    made.bind(1, 0)
+    made.bind(2, 1)
+    made.mark(3)
+    made.first = made.messages()
+    return made
+
+
+def said(sent):
+    return dict(sent.messages())
+
+
+def test_a_bind_is_the_whole_table_as_the_round_leaves_it(sent):
+    assert sent.first == [(1, [Part(whole=True, lines=[(0, 1.5), (1, 1.5)], ticket=3)]),
+                          (2, [Part(whole=True, lines=[(2, 1.0)], ticket=3)])]
+    assert said(sent) == {}
+    sent.joined(3, True)
+    sent.line(0, 4, 2.0)
+    sent.bind(3, 0)
+    sent.line(0, 0, 0)
+    assert said(sent) == {1: [Part(lines=[(4, 2.0), (0, 0.0)])], 3: [Part(whole=True, lines=[(1, 1.5), (4, 2.0)])]}
+
+
+def test_changes_go_to_bound_proxies_alone_and_end_with_the_stream(sent):
+    sent.line(1, 2, 3.0)
+    assert said(sent) == {2: [Part(lines=[(2, 3.0)])]}
+    sent.left(2)
+    sent.joined(2, False)
+    sent.line(1, 2, 4.0)
+    sent.bind(9, 1)         # has left
+    assert said(sent) == {}
+
+
+def test_groups_on_tables_of_their_own(sent):
+    sent.bind(1, 1, 2)
+    assert said(sent) == {1: [Part((1,), True, [(2, 1.0)])]}
+    sent.line(0, 0, 7.0)
+    sent.line(1, 2, 8.0)
+    assert said(sent)[1] == [Part((0,), lines=[(0, 7.0)]), Part((1,), lines=[(2, 8.0)])]
+
+
+def test_levels_travel_with_whole_tables_and_the_lower_wins(sent):
+    sent.level(0, 1, 5.0, 2)
+    assert said(sent) == {1: [Part((0,), level=(5.0, 2))]}
+    sent.level(EVERYWHERE, 0, 3.0, 1)
+    assert said(sent) == {1: [Part((0,), level=(3.0, 2)), Part((1,), level=(3.0, 1))], 2: [Part(level=(3.0, 1))]}
+    sent.bind(2, 0)
+    assert said(sent) == {2: [Part(whole=True, lines=[(0, 1.5), (1, 1.5)]), Part((0,), level=(3.0, 2)),
+                              Part((1,), level=(3.0, 1))]}
+    sent.joined(4, True)
+    sent.level(EVERYWHERE, 0, 2.0, 0)       # reaches whom no table was given yet
+    assert said(sent)[4] == [Part(level=(2.0, 0))]
+
+
+def test_a_table_that_is_cleared_is_sent_whole(sent):
+    sent.level(0, 0, 5.0, 2)
+    said(sent)
+    sent.clear(0)
+    sent.line(0, 6, 1.0)
+    assert said(sent) == {1: [Part(whole=True, lines=[(6, 1.0)])]}
+
+
+@pytest.mark.parametrize("everyone, whom", [(False, []), (True, [1, 2])])
+def test_a_mark_for_everyone_makes_a_message(sent, everyone, whom):
+    sent.mark(8, everyone)
+    assert said(sent) == {p: [Part(ticket=8)] for p in whom}
+
+
+def test_a_withdrawal_reaches_who_holds_it_and_who_holds_the_unknown(sent):
+    sent.joined(3, True)
+    sent.bench(0, True)
+    assert said(sent) == {1: [Part(out=[0])], 3: [Part(out=[0])]}
+    sent.bench(0, False)
+    assert said(sent) == {1: [Part(back=[0])], 3: [Part(back=[0])]}
+
+
+def test_a_withdrawal_travels_with_a_table_until_it_ends(sent):
+    sent.bench(2, True)
+    said(sent)
+    sent.bind(1, 1)
+    assert said(sent) == {1: [Part(whole=True, lines=[(2, 1.0)], out=[2])]}
+    sent.line(1, 2, 0)
+    sent.bench(2, False)
+    said(sent)
+    sent.line(1, 2, 1.0)
+    assert said(sent) == {p: [Part(lines=[(2, 1.0)])] for p in (1, 2)}      # they have let it back already
+
+
+def test_what_leaves_the_table_at_once_needs_no_withdrawal(sent):
+    sent.bench(0, True)
+    sent.line(0, 0, 0)
+    assert said(sent) == {1: [Part(lines=[(0, 0.0)])]}
+    sent.line(0, 0, 1.0)            # a line of what is withdrawn says so
+    assert said(sent) == {1: [Part(lines=[(0, 1.0)], out=[0])]}
+    sent.bench(0, False)
+    assert said(sent) == {1: [Part(back=[0])]}
+
+
+def test_what_was_shut_out_on_an_earlier_stream_is_let_back(sent):
+    sent.bench(0, True)
+    said(sent)
+    for fresh in (False, True):     # fresh speaks of tables, not of withdrawals
+        sent.left(1)
+        sent.bench(0, False)
+        sent.joined(1, fresh)
+        sent.bind(1, 0)
+        assert said(sent)[1] == [Part(whole=True, lines=[(0, 1.5), (1, 1.5)], back=[0])]
+
+
+@pytest.mark.parametrize("alone, proxy, fresh, doubts", [
+    (True, 5, True, []), (True, 5, False, [0, 1]), (True, 1, False, []), (False, 1, False, [0, 1])],
+    ids=["fresh", "after a restart of the pilot", "known, no other pilot", "may have been at another pilot"])
+def test_what_may_be_shut_out_by_others_is_let_back_later(sent, alone, proxy, fresh, doubts):
+    sent.alone = alone
+    sent.left(proxy)
+    sent.joined(proxy, fresh)
+    assert sent.doubts(proxy) == []
+    sent.bind(proxy, 0)
+    assert said(sent)[proxy][0].back == [] and sent.doubts(proxy) == doubts
+    sent.let_back(proxy, doubts)
+    assert said(sent) == ({proxy: [Part(back=doubts)]} if doubts else {}) and sent.doubts(proxy) == []
+    sent.line(0, 7, 1.0)
+    said(sent)
+    assert sent.doubts(proxy) == ([7] if doubts else [])
+
+
+def test_what_is_withdrawn_is_never_let_back_by_a_doubt(sent):
+    sent.bench(1, True)
+    sent.joined(5, False)
+    sent.bind(5, 0)
+    assert said(sent)[5] == [Part(whole=True, lines=[(0, 1.5), (1, 1.5)], out=[1])] and sent.doubts(5) == [0]
+
+
+@pytest.mark.parametrize("order", [("line", 0, 1, -1.0), ("line", 0, 1, float("nan")), ("line", 0, 1, float("inf")),
+                                   ("level", 0, 0, -1.0, 1), ("level", 0, 0, 1.0, 4)])
+def test_figures_that_no_proxy_takes_are_refused(sent, order):
+    with pytest.raises(ValueError):
+        getattr(sent, order[0])(*order[1:])
+
+
+def test_a_start_over_forgets_orders_but_not_what_proxies_hold(sent):
+    sent.bench(0, True)
+    said(sent)
+    sent.line(0, 1, 9.0)
+    sent.forget()
+    assert said(sent) == {} and not sent.tables
+    sent.line(0, 0, 1.0)
+    sent.bind(1, 0)
+    assert said(sent) == {1: [Part(whole=True, lines=[(0, 1.0)], back=[0])]}
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,431 @@
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+
+import pytest
+from conftest import SETTINGS, target
+
+from ravenshelf.memory.counters import Counters
+from ravenshelf.memory.listing import Listing
+from ravenshelf.memory.sent import Sent
+from ravenshelf.net.catalog import Catalog
+from ravenshelf.net.ends import End
+from ravenshelf.process import configuration, logs
+from ravenshelf.process.clock import Clock
+from ravenshelf.process.discovery import Discovery
+from ravenshelf.process.probes import Probes
+from ravenshelf.process.rounds import Rounds
+from ravenshelf.provisioning import provisioning
+from ravenshelf.rules import SECOND
+
+
+# --- discovery ---
+
+class Asked:
+    """A call that was opened; the test says what comes back."""
+
+    def __init__(self, purpose, path, done, piece, by, host=None):
+        self.purpose, self.path, self.done, self.piece, self.host = purpose, path, done, piece, host
+        self.end, self.status, self.body = None, 200, b""
+
+    def says(self, rev, *targets, all=False):
+        self.piece(self, json.dumps({"rev": rev, "all": all, "targets": targets}).encode())
+
+    def close(self, end):
+        if self.end is None:
+            self.end = end
+            self.done(self)
+
+    def answers(self, rev, *targets, all=True):
+        self.body = json.dumps({"rev": rev, "all": all, "targets": targets}).encode()
+        self.close(End.ANSWERED)
+
+
+class Service:
+    def __init__(self, pushed=False):
+        self.calls, self.told, self.again, self.listing = [], [], [], Listing()
+        settings = provisioning(SETTINGS)
+        self.listing.take("replace", 5, [(self.listing.endpoint("s-1"), 0, 0, 0, "ready", 4.0, 0)], {0: "127.0.0.1:9"})
+
+        def open_call(*said):
+            self.calls.append(Asked(*said))
+            return self.calls[-1]
+
+        def news(name, values):
+            self.told.append((name, *(v if name != "listed" else (v[0], [(e[0], e[4]) for e in v[1]]) for v in [values])
+                              ) if values else (name,))
+        self.counters = Counters()
+        self.discovery = Discovery(self.listing, Catalog(settings, self.listing.endpoint), self.counters, open_call, news,
+                                   pushed)
+        self.discovery.later = self.again.append
+        self.probes = Probes(settings, self.listing, self.counters, open_call,
+                             lambda name, values: self.told.append((name, values)), lambda: 0)
+
+
+@pytest.fixture
+def service():
+    return Service()
+
+
+def test_a_watch_is_answered_once_and_brings_changes_until_it_ends(service):
+    service.discovery.observe(True)
+    watch = service.calls[-1]
+    assert watch.path == "/catalog/members?watch=1&after=5" and not service.told
+    watch.says(7, target("s-1", state="DRAINING"))
+    watch.piece(watch, b"")
+    watch.says(8, target("s-1", state="DELETED"), target("s-2"))
+    watch.close(End.RESET)
+    assert service.told == [("listed", ("update", [(0, "draining")])),
+                            ("listed", ("update", [(0, "gone"), (1, "ready")])), ("list_failed",)]
+
+
+@pytest.mark.parametrize("first", [lambda w: w.piece(w, b""), lambda w: w.says(5), lambda w: w.says(3, all=True)],
+                         ids=["an empty line", "no change", "an older list"])
+def test_a_watch_with_no_news_is_an_answer_too(service, first):
+    service.discovery.observe(True)
+    first(service.calls[-1])
+    service.calls[-1].piece(service.calls[-1], b"")
+    assert service.told == [("listed", ("update", []))]
+
+
+@pytest.mark.parametrize("said", [b"{", b"[1]", b'{"rev":9}', b"\xff"])
+def test_a_watch_that_cannot_be_read_has_failed(service, said):
+    service.discovery.observe(True)
+    service.calls[-1].piece(service.calls[-1], said)
+    assert service.told == [("list_failed",)] and service.calls[-1].end is End.UNREADABLE and service.listing.rev == 5
+
+
+@pytest.mark.parametrize("purpose", ["observe", "fetch"])
+@pytest.mark.parametrize("end", [End.REFUSED, End.RESET, End.SILENT, End.CUT_OFF, End.DECLINED, End.CROWDED])
+def test_each_failed_call_has_one_answer_and_the_list_holds(service, purpose, end):
+    service.discovery.observe(True) if purpose == "observe" else service.discovery.fetch()
+    service.calls[-1].close(end)
+    assert service.told == [("list_failed",)] and list(service.listing.entries) == [0]
+
+
+def test_a_new_watch_takes_the_place_of_the_old_in_silence(service):
+    service.discovery.observe(True)
+    service.discovery.observe(True)
+    old, new = service.calls
+    old.says(9, target("s-9"))
+    assert old.end is End.SUPERSEDED and service.told == []
+    new.says(7)
+    service.discovery.observe(False)
+    assert service.told == [("listed", ("update", []))] and new.end is End.SUPERSEDED
+
+
+def test_a_fetch_that_crosses_the_watch(service):
+    service.discovery.observe(True)
+    service.discovery.fetch()
+    watch, fetch = service.calls
+    watch.says(7, target("s-2"))
+    fetch.answers(6, target("s-1"))                 # older than what the watch has brought
+    assert service.told[-1] == ("listed", ("update", [])) and sorted(service.listing.entries) == [0, 1]
+    service.discovery.fetch()
+    service.calls[-1].answers(9, target("s-2"))     # newer: it removes s-1
+    watch.says(8, target("s-1"))                    # what the watch says of the time before is old
+    assert service.told[-1] == ("listed", ("replace", [(1, "ready")])) and list(service.listing.entries) == [1]
+    watch.says(10, target("s-3"))
+    assert service.told[-1] == ("listed", ("update", [(2, "ready")]))
+
+
+def test_broken_entries_remove_nothing(service):
+    service.discovery.fetch()
+    service.calls[-1].answers(6, target("s-1", state="ASLEEP"), target("s-2"))
+    assert sorted(service.listing.entries) == [0, 1] and service.counters["list_entries_broken"] == 1
+    service.discovery.fetch()
+    service.calls[-1].answers(7, target("s-2"), 5)
+    assert sorted(service.listing.entries) == [0, 1]
+
+
+def test_a_pushed_list_is_watched_by_the_pilot_itself():
+    service = Service(pushed=True)
+    service.discovery.observe(True)
+    assert not service.calls
+    service.discovery.begin()
+    service.calls[-1].close(End.RESET)
+    assert service.told == [] and service.again
+
+
+# --- probes ---
+
+@pytest.mark.parametrize("end, body, values", [
+    (End.ANSWERED, b"inflight=7,queue=2", (0, True, 0, (7.0,))), (End.ANSWERED, b"queue=2", (0, True, 0, ())),
+    (End.DECLINED, b"inflight=7", (0, False, 0, ())), (End.REFUSED, b"", (0, False, 0, ())),
+    (End.SILENT, b"", (0, False, 0, ()))])
+def test_each_probe_has_one_answer(service, end, body, values):
+    service.probes.begin(0)
+    probe = service.calls[-1]
+    probe.body = body
+    probe.close(end)
+    assert (probe.path, probe.host) == ("/_load", "127.0.0.1:9") and service.told == [("probed", values)]
+
+
+@pytest.mark.parametrize("allowed, told", [(True, [("probed", (7, False, 0, ()))]), (False, [])])
+def test_what_cannot_be_probed(service, allowed, told):
+    service.probes.allowed = allowed
+    service.probes.begin(7)
+    assert not service.calls and service.told == told
+
+
+# --- the round ---
+
+class Play:
+    def __init__(self, states=("SERVING", "SERVING"), **service):
+        settings = provisioning(SETTINGS)
+        settings["service"].update(service)
+        self.listing, self.counters, self.now, self.out = Listing(), Counters(), 100 * SECOND, []
+        self.listing.take("replace", 1, [(self.listing.endpoint(f"s-{n}"), 0, 0, 0, "ready", 4.0, 0) for n in (1, 2)], {})
+        self.sent = Sent(2, True)
+        self.rounds = Rounds(settings, 7, self.listing, self.sent, self.counters)
+        self.rounds.begin()
+        self.run()
+
+    def run(self, *news):
+        for name, values in news:
+            self.rounds.hear(name, values)
+        self.out = []
+        return self.rounds.run(self.now, lambda proxy, message, ticket: self.out.append((proxy, message.decode())))
+
+
+def join(proxy, fresh=True):
+    return "joined", (proxy, 0, 10.0, fresh)
+
+
+@pytest.fixture
+def play():
+    return Play
+
+
+def test_joined_proxies_are_bound_in_one_message_each(play):
+    p = play()
+    p.run(join(0), join(1))
+    assert [proxy for proxy, _ in p.out] == [0, 1]
+    assert p.out[0][1].startswith("CONFIG whole=1 lines=s-1:") and p.out[0][1].endswith("ticket=1\r\n")
+    assert p.counters["lines_written"] == p.counters["lines_charged"] == 2 * (1 + 2 + 1 + 3)
+
+
+def test_a_proxy_that_comes_again_is_bound_anew(play):
+    p = play()
+    p.run(join(0))
+    p.run(join(0, False))
+    assert [proxy for proxy, _ in p.out] == [0] and "whole=1" in p.out[0][1]
+    p.run(("left", (0,)))
+    assert not p.out and not p.rounds.joined
+
+
+def test_what_is_written_beyond_the_charge_is_added_to_the_queue(play):
+    p = play()
+    p.run(join(0))
+    p.now += 20 * SECOND
+    listed = ("listed", ("update", ((0, 0, 0, 0, "draining", 4.0, 0),)))
+    p.rounds.controller.write = lambda *_: None     # the table keeps the line, so it must be let back later
+    p.run(listed)
+    assert "out=s-1" in p.out[0][1]
+    p.run(("listed", ("update", ((0, 0, 0, 0, "ready", 4.0, 0),))))
+    p.rounds.controller.channel.waiting = 0.0
+    p.rounds.controller.round = lambda now, news, orders: orders.mark(5, True)      # charges nothing
+    p.run()
+    assert p.counters["lines_beyond_charge"] == 1 + 3 == p.rounds.controller.channel.waiting
+
+
+def test_doubts_are_settled_as_the_channel_has_room(play):
+    p = play()
+    p.run(join(0, False))
+    assert "back=" not in p.out[0][1]
+    p.rounds.controller.channel.waiting = 1e6
+    p.run()
+    assert not p.out
+    p.now += 2000 * SECOND
+    p.run()
+    assert "back=s-1,s-2" in p.out[0][1] and p.counters["lines_written"] == p.counters["lines_charged"]
+
+
+def test_a_failing_module_starts_over_and_no_half_round_goes_out(play):
+    p = play()
+    p.run(join(0), join(1))
+    failed = p.rounds.controller
+
+    def fail(now, news, orders):
+        orders.line(0, 0, 0)
+        raise RuntimeError("no such thing")
+    failed.round = fail
+    assert p.run(("left", (1,))) is None and not p.out and p.counters["module_failures"] == 1
+    calls = p.run()
+    assert p.rounds.controller is not failed and [proxy for proxy, _ in p.out] == [0]
+    assert "whole=1 lines=s-1:" in p.out[0][1] and ("observe", True) in calls
+
+
+# --- the configuration, the log, the clock ---
+
+GOOD = {"name": "n3", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
+        "known": {"rev": 4, "all": True, "targets": [target("s-1"), target("s-2", "b")]}}
+
+
+@pytest.mark.parametrize("change, told", [
+    ({"listen": "here"}, "listen: expected host:port"), ({"discovery": None}, "discovery: expected host:port"),
+    ({"discovery": "h:99999"}, "discovery: expected host:port"), ({"seed": "xyz"}, "seed: expected hexadecimal"),
+    ({"settings": []}, "settings: expected an object"), ({"settings": {"azs": ["a"]}}, "settings.classes"),
+    ({"settings": SETTINGS | {"classes": ["a"]}}, "settings.classes: expected objects"),
+    ({"limits": 5}, "limits: expected an object"), ({"limits": {"sockets": "9"}}, "limits.sockets"),
+    ({"peers": "a"}, "peers: expected a list"), ({"peers": ["a"]}, "peers[0]: expected host:port"),
+    ({"peer_listen": 7}, "peer_listen"), ({"known": {"rev": 4}}, "known: expected"),
+])
+def test_a_wrong_configuration_names_its_field(tmp_path, change, told):
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(GOOD | change))
+    with pytest.raises(configuration.Wrong, match=f"^{told}".replace("[", r"\[").replace("]", r"\]")):
+        configuration.read(str(file), {})
+
+
+@pytest.mark.parametrize("text, told", [(None, "config.json: No such file"), ("{", "expected JSON"), ("[]", "expected an object")])
+def test_a_configuration_that_is_none(tmp_path, text, told):
+    file = tmp_path / "config.json"
+    if text is not None:
+        file.write_text(text)
+    with pytest.raises(configuration.Wrong, match=told):
+        configuration.read(None, {"RELAY_CONFIG": str(file)})
+    with pytest.raises(configuration.Wrong, match="RELAY_CONFIG"):
+        configuration.read(None, {})
+
+
+def test_variables_fill_in_what_the_file_leaves_out(tmp_path):
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps({k: v for k, v in GOOD.items() if k not in ("listen", "name")} | {"colour": "blue"}))
+    read = configuration.read(str(file), {"RELAY_LISTEN": "127.0.0.1:5", "RELAY_NAME": "n7", "RELAY_DISCOVERY": "x"})
+    assert (read["listen"], read["name"], read["discovery"]) == ("127.0.0.1:5", "n7", "127.0.0.1:1")
+    assert "n7" in configuration.summary(read)
+
+
+def test_log_lines_are_bounded_and_a_full_pipe_blocks_nobody():
+    written, go = [], threading.Event()
+
+    def write(text):
+        go.wait()
+        written.append(text)
+
+    class Line(str):
+        def __new__(cls, text, second, level=20):
+            self = super().__new__(cls, text)
+            stamp = type("Time", (), {"timestamp": lambda _: second})()
+            self.record = {"time": stamp, "level": type("Level", (), {"no": level})()}
+            return self
+
+    sink = logs.Sink(write)
+    for n in range(logs.BURST + 500):
+        sink(Line(f"{n}\n", 1.0))
+    sink(Line("an error\n", 1.0, 40))
+    sink(Line("later\n", 3.0))
+    go.set()
+    sink.finish(10)
+    assert len(written) == logs.BURST + 2 and written[-2] == "(500 lines left out) an error\n"
+    assert written[-1] == "later\n"
+
+
+def test_the_clock_counts_whole_microseconds_and_never_goes_back():
+    clock = Clock()
+    times = [clock() for _ in range(1000)]
+    assert times == sorted(times) and all(isinstance(t, int) for t in times)
+
+
+# --- the program itself, on loopback ---
+
+class Line:
+    """A connection to the pilot, read line by line."""
+
+    def __init__(self, port):
+        self.socket = socket.create_connection(("127.0.0.1", port), timeout=20)
+        self.file = self.socket.makefile("rb")
+
+    def say(self, *said):
+        self.socket.sendall(b"".join(s.encode() + b"\r\n" for s in said))
+        return self
+
+    def hear(self):
+        return self.file.readline().decode().strip()
+
+
+@pytest.fixture
+def program(tmp_path):
+    """The pilot as a process, and a stand-in for discovery that the test answers by hand."""
+    discovery = socket.create_server(("127.0.0.1", 0))
+    discovery.settimeout(20)
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(GOOD | {"listen": f"127.0.0.1:{port}",
+                                       "discovery": f"127.0.0.1:{discovery.getsockname()[1]}"}))
+    running = subprocess.Popen([sys.executable, "-m", "ravenshelf", "serve"], stderr=subprocess.PIPE, text=True,
+                               env=os.environ | {"RELAY_CONFIG": str(file), "PYTHONDONTWRITEBYTECODE": "1"})
+    watch, _ = discovery.accept()       # the first round has been played
+    while "serves at" not in running.stderr.readline():
+        assert running.poll() is None
+    yield running, port, watch
+    running.kill()
+    running.communicate()
+    watch.close()
+    discovery.close()
+
+
+def chunk(said):
+    text = json.dumps(said).encode() + b"\n"
+    return b"%x\r\n%s\r\n" % (len(text), text)
+
+
+def test_the_program_binds_follows_the_list_and_stops(program):
+    running, port, watch = program
+    stranger = Line(port).say("PING")
+    assert stranger.hear() == "PONG"
+    proxy = Line(port).say("SUBSCRIBE proxy=1 zone=a weight=21.5 fresh=1")
+    bound = proxy.hear()
+    assert bound.startswith("CONFIG whole=1 lines=s-1:1000") and "ticket=1" in bound
+    proxy.say("ACK proxy=1 mark=1 took_ms=3.5")
+    asked = watch.recv(4096)
+    assert asked.startswith(b"GET /catalog/members?watch=1&after=4 HTTP/1.1\r\n")
+    watch.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  + chunk({"rev": 5, "all": False, "targets": [target("s-3"), target("s-1", state="DRAINING")]}))
+    changed = proxy.hear()
+    assert "s-3:1000" in changed and "s-1:0" in changed
+    bad = Line(port).say("SUBSCRIBE proxy=9 zone=a weight=1 fresh=1")
+    assert bad.hear() == ""
+    running.send_signal(signal.SIGUSR1)
+    while "counters:" not in (line := running.stderr.readline()):
+        pass
+    assert "took_ack=1" in line and "unreadable=1" in line and "proxies=1" in line
+    running.send_signal(signal.SIGTERM)
+    assert proxy.hear() == "" and running.wait(20) == 0
+    assert "counters:" in running.stderr.read()
+
+
+def test_a_proxy_that_returns_after_the_pilot_was_killed_is_bound_again(program, tmp_path):
+    running, port, _ = program
+    assert "whole=1" in Line(port).say("SUBSCRIBE proxy=1 zone=a weight=21.5 fresh=0").hear()
+    running.kill()
+    running.wait(20)
+    again = subprocess.Popen([sys.executable, "-m", "ravenshelf", "serve", "-c", str(tmp_path / "config.json")],
+                             stderr=subprocess.PIPE, text=True)
+    try:
+        while "serves at" not in again.stderr.readline():
+            assert again.poll() is None
+        assert "whole=1" in Line(port).say("SUBSCRIBE proxy=1 zone=a weight=21.5 fresh=0").hear()
+    finally:
+        again.kill()
+        again.communicate()
+
+
+@pytest.mark.parametrize("arguments, code, told", [
+    (["version"], 0, "ravenshelf 0."), (["--help"], 0, "serve"), (["check", "-c", "{good}"], 0, "known endpoints 2"),
+    (["check", "-c", "{bad}"], 2, "listen: expected host:port, not None"), (["serve", "-c", "{bad}"], 2, "ravenshelf: listen"),
+])
+def test_the_command_line(tmp_path, arguments, code, told):
+    for name, said in (("good", GOOD), ("bad", {k: v for k, v in GOOD.items() if k != "listen"})):
+        (tmp_path / name).write_text(json.dumps(said))
+    arguments = [a.format(good=tmp_path / "good", bad=tmp_path / "bad") for a in arguments]
+    done = subprocess.run([sys.executable, "-m", "ravenshelf", *arguments], capture_output=True, text=True, timeout=60,
+                          env={k: v for k, v in os.environ.items() if not k.startswith("RELAY_")})
+    assert done.returncode == code and told in done.stdout + done.stderr and "Traceback" not in done.stderr
