--- a/ravenshelf/memory/listing.py
+++ b/ravenshelf/memory/listing.py
@@ -1,19 +1,39 @@
 """The list of endpoints as this pilot holds it; ids become small indices here, and stay so over restarts."""
+from typing import Callable
+
+REST = 600_000_000      # an index is given to another endpoint no sooner after its own has gone: evidence has faded
 
 
 class Listing:
-    def __init__(self):
+    def __init__(self, clock: Callable[[], int], in_use: Callable[[int], bool]):
+        self.clock, self.in_use = clock, in_use
         self.rev, self.names, self.index = 0, [], {}
         self.entries: dict[int, tuple] = {}     # what the module was last told of each listed endpoint
         self.addresses: dict[int, str] = {}
+        self.left: dict[int, int] = {}          # when an index that is not listed any more left, oldest first
 
     def endpoint(self, name: str) -> int:
-        """The endpoint's index; a name that was never listed gets a new one."""
+        """The endpoint's index. A new name gets one whose endpoint has long gone, so that they don't grow with time."""
         if name not in self.index:
-            self.index[name] = len(self.names)
-            self.names.append(name)
+            rested = self._rested()
+            if rested is None:
+                rested = len(self.names)
+                self.names.append(name)
+            else:
+                del self.index[self.names[rested]], self.left[rested]
+                self.names[rested] = name
+            self.index[name] = rested
         return self.index[name]
 
+    def _rested(self) -> int | None:
+        before = self.clock() - REST
+        for index, at in self.left.items():
+            if at > before:
+                break
+            if not self.in_use(index):
+                return index
+        return None
+
     def take(self, how: str, rev: int, entries: list[tuple], addresses: dict[int, str], after: int | None = None):
         """What of a list or of changes is news: (how, entries) for the module, or None.
 
@@ -31,8 +51,12 @@
             if entry[4] == "gone":
                 del self.entries[entry[0]]
         self.addresses.update(addresses)
-        for index in [i for i in self.addresses if i not in self.entries]:
-            del self.addresses[index]
+        for index in range(len(self.names)):
+            if index in self.entries:
+                self.left.pop(index, None)
+            else:
+                self.left.setdefault(index, self.clock())
+                self.addresses.pop(index, None)
         return how, tuple(entries)
 
     def whole(self) -> tuple:
--- a/ravenshelf/memory/sent.py
+++ b/ravenshelf/memory/sent.py
@@ -136,6 +136,9 @@
     def log(self, text: str) -> None:
         self.calls.append(("log", text))
 
+    def holds(self, endpoint: int) -> bool:
+        return any(endpoint in lines for lines in self.tables.values())
+
     # --- what a proxy may have kept of other pilots, or of this one before it restarted ---
 
     def doubts(self, proxy: int) -> list[int]:
--- a/ravenshelf/net/catalog.py
+++ b/ravenshelf/net/catalog.py
@@ -11,10 +11,11 @@
 
 
 class Catalog:
-    def __init__(self, provisioning: dict, endpoint: Callable[[str], int]):
+    def __init__(self, provisioning: dict, endpoint: Callable[[str], int], known: Callable[[str], int | None]):
+        """`endpoint` gives a listed name its index, `known` only that of a name that has one."""
         self.zones = {name: n for n, name in enumerate(provisioning.get("zones", []))}
         self.kinds = {name: n for n, name in enumerate(provisioning.get("kinds", []))}
-        self.endpoint = endpoint
+        self.endpoint, self.known = endpoint, known
 
     def read(self, text: bytes | str) -> dict:
         try:
@@ -40,7 +41,7 @@
             try:
                 entry = self._entry(target)
             except (KeyError, TypeError, ValueError, OverflowError) as why:
-                broken.append((self.endpoint(name), f"{name}: {type(why).__name__} {why}"))
+                broken.append((self.known(name), f"{name}: {type(why).__name__} {why}"))
                 continue
             index = self.endpoint(name)
             entries[index] = (index, *entry)
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -27,6 +27,7 @@
 CALLS = 64          # calls at discovery and endpoints that may be open at a time
 BACKLOG = 256
 AFTER_FAILURE = 250_000
+STOOD_STILL, READ_FIRST = 500_000, 0.02     # a timer so late means that the process stood still; seconds to read
 
 
 class Pilot:
@@ -41,9 +42,9 @@
         calls = min(CALLS, sockets // 8)
         accepted = sockets - OWN - calls
         self.slots, self.calls = Slots(accepted), Slots(calls)
-        self.listing = Listing()
-        self.catalog = Catalog(settings, self.listing.endpoint)
         self.sent = Sent(len(settings.get("traffic_groups", [])), pilots == 1)
+        self.listing = Listing(clock, self.sent.holds)
+        self.catalog = Catalog(settings, self.listing.endpoint, self.listing.index.get)
         self.rounds = Rounds(settings, int(str(configuration.get("seed", "0")), 16), self.listing, self.sent,
                              self.counters)
         self.discovery = Discovery(self.listing, self.catalog, self.counters, self.open_call, self.news,
@@ -72,7 +73,7 @@
     def arm(self) -> None:
         """One timer of the loop, for the earliest deadline."""
         at = self.deadlines.next()
-        if at is None or (self.timer is not None and self.timer_at is not None and self.timer_at <= at):
+        if at is None or (self.timer is not None and (self.timer_at is None or self.timer_at <= at)):
             return
         if self.timer is not None:
             self.timer.cancel()
@@ -80,8 +81,12 @@
         self.timer = self.loop.call_later(wait / 1e6, self.turn) if wait > 0 else self.loop.call_soon(self.turn)
 
     def turn(self) -> None:
-        self.timer = self.timer_at = None
         now = self.clock()
+        if now - (self.timer_at or now) > STOOD_STILL:
+            # what came in meanwhile is read first: else whoever spoke in time would be taken for silent
+            self.timer_at, self.timer = None, self.loop.call_later(READ_FIRST, self.turn)
+            return
+        self.timer = self.timer_at = None
         for key in self.deadlines.due(now):
             if key[0] == "wake":
                 self.news("woken", (key[2],))
