--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -222,7 +222,8 @@
     loop.add_signal_handler(signal.SIGINT, pilot.stop)
     loop.add_signal_handler(signal.SIGUSR1, pilot.count)
     await pilot.start()
-    logger.info("{} serves at {}", configuration.get("name"), configuration["listen"])
+    host, port = pilot.server.sockets[0].getsockname()[:2]
+    logger.info("{} serves at {}:{}", configuration.get("name"), host, port)
     await pilot.stopped
     pilot.count()
     await asyncio.sleep(0)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -441,21 +441,24 @@
         return self.file.readline().decode().strip()
 
 
+def begin(file):
+    """Starts the pilot at a port that the system gives, and waits until it says which."""
+    running = subprocess.Popen([sys.executable, "-m", "ravenshelf", "serve"], stderr=subprocess.PIPE, text=True,
+                               env=os.environ | {"RELAY_CONFIG": str(file)})
+    while "serves at" not in (line := running.stderr.readline()):
+        assert running.poll() is None, line
+    return running, int(line.rpartition(":")[2])
+
+
 @pytest.fixture
 def program(tmp_path):
     """The pilot as a process, and a stand-in for discovery that the test answers by hand."""
     discovery = socket.create_server(("127.0.0.1", 0))
     discovery.settimeout(20)
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        port = free.getsockname()[1]
     file = tmp_path / "config.json"
-    file.write_text(json.dumps(GOOD | {"listen": f"127.0.0.1:{port}",
-                                       "discovery": f"127.0.0.1:{discovery.getsockname()[1]}"}))
-    running = subprocess.Popen([sys.executable, "-m", "ravenshelf", "serve"], stderr=subprocess.PIPE, text=True,
-                               env=os.environ | {"RELAY_CONFIG": str(file), "PYTHONDONTWRITEBYTECODE": "1"})
+    file.write_text(json.dumps(GOOD | {"discovery": f"127.0.0.1:{discovery.getsockname()[1]}"}))
+    running, port = begin(file)
     watch, _ = discovery.accept()       # the first round has been played
-    while "serves at" not in running.stderr.readline():
-        assert running.poll() is None
     yield running, port, watch
     running.kill()
     running.communicate()
@@ -498,11 +501,8 @@
     assert "whole=1" in Line(port).say("SUBSCRIBE proxy=1 zone=a weight=21.5 fresh=0").hear()
     running.kill()
     running.wait(20)
-    again = subprocess.Popen([sys.executable, "-m", "ravenshelf", "serve", "-c", str(tmp_path / "config.json")],
-                             stderr=subprocess.PIPE, text=True)
+    again, port = begin(tmp_path / "config.json")
     try:
-        while "serves at" not in again.stderr.readline():
-            assert again.poll() is None
         assert "whole=1" in Line(port).say("SUBSCRIBE proxy=1 zone=a weight=21.5 fresh=0").hear()
     finally:
         again.kill()
