--- a/ravenshelf/net/lines.py
+++ b/ravenshelf/net/lines.py
@@ -99,7 +99,8 @@
         return whole(said, "proxy", self.proxies)
 
     def joined(self, said: dict[str, str]) -> tuple[int, int, float, bool]:
-        return self.proxy(said), self.zone(said), number(said, "weight"), flag(said, "fresh")
+        """A proxy of which no usual rate is known may say none."""
+        return self.proxy(said), self.zone(said), number({"weight": "0"} | said, "weight"), flag(said, "fresh")
 
     def applied(self, said: dict[str, str]) -> tuple[int, int, int]:
         return self.proxy(said), whole(said, "mark", 65536), micros(said, "took_ms")
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -88,23 +88,30 @@
             return
         self.timer = self.timer_at = None
         for key in self.deadlines.due(now):
-            if key[0] == "wake":
-                self.news("woken", (key[2],))
-            elif key[0] == "silent":
-                self.door.silent(key[1])
-            elif key[0] == "call":
-                call = self.calls.get(key[1])
-                if call is not None:
-                    call.close(End.SILENT)
-            elif key[0] == "watch":
-                self.discovery.begin()
-            elif key[0] == "round":
-                self.round()
-            elif key[0] == "count":
-                self.count()
-                self.deadlines.set(key, now + self.counters_every)
+            try:
+                self.meet(key, now)
+            except Exception:       # one that fails must not take the others' turn, nor the next
+                self.counters["deadlines_failed"] += 1
+                logger.exception("the deadline {} failed", key)
         self.arm()
 
+    def meet(self, key: tuple, now: int) -> None:
+        if key[0] == "wake":
+            self.news("woken", (key[2],))
+        elif key[0] == "silent":
+            self.door.silent(key[1])
+        elif key[0] == "call":
+            call = self.calls.get(key[1])
+            if call is not None:
+                call.close(End.SILENT)
+        elif key[0] == "watch":
+            self.discovery.begin()
+        elif key[0] == "round":
+            self.round()
+        elif key[0] == "count":
+            self.deadlines.set(key, now + self.counters_every)
+            self.count()
+
     def news(self, name: str, values: tuple) -> None:
         self.rounds.hear(name, values)
         if self.ready and ("round",) not in self.deadlines.at:
@@ -207,6 +214,11 @@
             call.close(End.STOPPING)
         self.stopped.set_result(None)
 
+    def failed(self, loop: asyncio.AbstractEventLoop, context: dict) -> None:
+        """What failed in a call of the loop ends its connection, if it was one's; the pilot goes on."""
+        self.counters["calls_failed"] += 1
+        logger.opt(exception=context.get("exception")).error("the loop: {}", context.get("message"))
+
     def count(self) -> None:
         usage = {"connections": len(self.slots), "proxies": len(self.door.streams), "calls": len(self.calls),
                  "endpoints": len(self.listing.entries), "deadlines": len(self.deadlines.at)}
@@ -218,6 +230,7 @@
     loop = asyncio.get_running_loop()
     pilot = Pilot(configuration, loop, clock)
     pilot.counters_every = counters_every
+    loop.set_exception_handler(pilot.failed)
     loop.add_signal_handler(signal.SIGTERM, pilot.stop)
     loop.add_signal_handler(signal.SIGINT, pilot.stop)
     loop.add_signal_handler(signal.SIGUSR1, pilot.count)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,6 +19,7 @@
 @pytest.mark.parametrize("first, line, call", [
     (None, JOIN, ("joined", (1, 0, 21.5, True))),
     (None, JOIN + " colour=blue", ("joined", (1, 0, 21.5, True))),
+    (None, JOIN.replace("weight=21.5 ", ""), ("joined", (1, 0, 0.0, True))),
     ("SOURCE zone=a", LOAD, ("heard", (1, 0, 212, 3, 41_700, 1_000_000, (7.0,)))),
     ("SOURCE zone=a", LOAD.replace("inflight", "queue"), ("heard", (1, 0, 212, 3, 41_700, 1_000_000, ()))),
     ("SOURCE zone=a", LOAD.replace("inflight:7", "inflight:x"), ("heard", (1, 0, 212, 3, 41_700, 1_000_000, ()))),
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -336,6 +336,14 @@
     assert woken[0][0] >= start + 4000 and dict((k, t) for t, k in woken)["soon"] >= start + 50_000
 
 
+def test_a_deadline_that_fails_stops_no_other(begun):
+    pilot, loop = begun
+    pilot.set_deadline(("silent",), loop.now + 10)      # names no slot
+    pilot.set_deadline(("wake", 0, "mine"), loop.now + 20)
+    loop.play(1)
+    assert pilot.counters["deadlines_failed"] == 1 and pilot.counters["rounds"] > 2
+
+
 @pytest.mark.parametrize("late, spoke, end", [(6.0, True, None), (6.0, False, End.SILENT), (0.0, False, End.SILENT)])
 def test_a_pilot_that_stood_still_reads_before_it_takes_others_for_silent(begun, late, spoke, end):
     pilot, loop = begun
