--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -129,11 +129,11 @@
             self.deadlines.set(("round",), self.round_at)
         self.counters.most("round_most_us", (time.perf_counter_ns() - began) // 1000)
         for name, *values in calls or ():
-            self.do(name, values, now)
+            self.do(name, values)
 
-    def do(self, name: str, values: list, now: int) -> None:
+    def do(self, name: str, values: list) -> None:
         if name == "wake":
-            self.set_deadline(("wake", *values), max(values[0], now + 1))
+            self.set_deadline(("wake", *values), values[0])     # met in a later turn, even where it is past
         elif name == "log":
             logger.info("decisions: {}", values[0])
         elif name == "observe":
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -164,6 +164,8 @@
     sent.joined(3, True)
     sent.bench(0, True)
     assert said(sent) == {1: [Part(out=[0])], 3: [Part(out=[0])]}
+    sent.bench(0, True)     # it has been said
+    assert said(sent) == {}
     sent.bench(0, False)
     assert said(sent) == {1: [Part(back=[0])], 3: [Part(back=[0])]}
 
@@ -241,3 +243,68 @@
     sent.line(0, 0, 1.0)
     sent.bind(1, 0)
     assert said(sent) == {1: [Part(whole=True, lines=[(0, 1.0)], back=[0])]}
+
+
+# --- the writer against the meaning of its orders ---
+
+class Obedient:
+    """A proxy that does as messages say and keeps what it holds when its stream breaks."""
+
+    def __init__(self):
+        self.lines, self.levels, self.out = {0: {9: 1.0}, 1: {9: 1.0}}, {}, set()
+
+    def obey(self, parts):
+        for part in parts:
+            for g in part.groups or (0, 1):
+                if part.whole:
+                    self.lines[g], self.levels = {}, {k: v for k, v in self.levels.items() if k != g}
+                self.lines[g] = {e: w for e, w in {**self.lines[g], **dict(part.lines)}.items() if w}
+                if part.level:
+                    self.levels[g] = part.level
+            self.out = (self.out | set(part.out)) - set(part.back)
+
+    def picks(self, group):
+        return {e: w for e, w in self.lines[group].items() if e not in self.out}
+
+
+@pytest.mark.parametrize("alone", [True, False])
+@pytest.mark.parametrize("seed", range(12))
+def test_proxies_end_up_with_what_the_orders_mean(seed, alone):
+    chance, sent = random.Random(seed), Sent(2, alone)
+    proxies = {p: Obedient() for p in range(4)}
+    for _ in range(60):
+        for p, proxy in proxies.items():
+            if p not in sent.proxies and chance.random() < 0.5:
+                if not alone:       # another pilot had it meanwhile
+                    proxy.obey([Part(out=chance.sample(range(6), 2), back=[])])
+                fresh = p not in sent.past and alone
+                sent.joined(p, fresh)
+        for p in sent.proxies:
+            sent.let_back(p, sent.doubts(p))
+        for _ in range(chance.randrange(4)):
+            table, endpoint = chance.randrange(3), chance.randrange(6)
+            chance.choice([
+                lambda: sent.line(table, endpoint, chance.choice([0, 1.0, 2.5])),
+                lambda: sent.line(table, endpoint, 1.5),
+                lambda: sent.bench(endpoint, chance.random() < 0.6),
+                lambda: sent.bind(chance.randrange(4), table, chance.randrange(4)),
+                lambda: sent.level(chance.choice([table, EVERYWHERE]), chance.randrange(4), chance.random(), 1),
+                lambda: sent.clear(table),
+            ])()
+        lost = chance.choice([*sent.proxies, *[None] * 8])
+        for p, parts in sent.messages():
+            if p != lost:
+                proxies[p].obey(parts)
+        if lost is not None:        # its stream broke before the message came
+            sent.left(lost)
+        for p in sent.proxies:
+            sent.let_back(p, sent.doubts(p))
+        for p, parts in sent.messages():
+            proxies[p].obey(parts)
+        for p, held in sent.proxies.items():
+            for g, table in held.bound.items():
+                meant = {e: w for e, w in sent.tables.get(table, {}).items() if e not in sent.benched}
+                assert proxies[p].picks(g) == meant
+                levels = [sent.levels.get(t, {}).get(g) for t in (table, EVERYWHERE)]
+                lowest = min((level for level, _ in filter(None, levels)), default=None)
+                assert proxies[p].levels.get(g, (None,))[0] == lowest
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -52,6 +52,7 @@
     bad = e.connect(*([first] if first else []))
     before = list(e.told)
     feed(bad, line.encode("latin-1") + b"\r\n" + JOIN.encode() + b"\r\n")     # nothing after it counts either
+    feed(bad, JOIN.encode() + b"\r\n")       # nor does what lay in the socket still
     assert bad.end is End.UNREADABLE and bad.transport.ended == "abort" and e.counters["unreadable"] == 1
     assert e.told[len(before):] == ([("left", (1,))] if first == JOIN else [])
     assert other.end is None and len(e.slots) == 1
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -63,7 +63,8 @@
         self.counters = Counters()
         self.discovery = Discovery(self.listing, Catalog(settings, self.listing.endpoint, self.listing.index.get),
                                    self.counters, open_call, news, pushed)
-        self.discovery.later = self.again.append
+        self.discovery.later, self.extended = self.again.append, []
+        self.discovery.extend = lambda call, time: self.extended.append(call)
         self.probes = Probes(settings, self.listing, self.counters, open_call,
                              lambda name, values: self.told.append((name, values)), lambda: 0)
 
@@ -81,6 +82,7 @@
     watch.piece(watch, b"")
     watch.says(8, target("s-1", state="DELETED"), target("s-2"))
     watch.close(End.RESET)
+    assert service.extended == [watch] * 3      # each line, an empty one too, moves the deadline for silence
     assert service.told == [("listed", ("update", [(0, "draining")])),
                             ("listed", ("update", [(0, "gone"), (1, "ready")])), ("list_failed",)]
 
