--- a/ravenshelf/process/door.py
+++ b/ravenshelf/process/door.py
@@ -87,6 +87,7 @@
             kind, said = lines.words(line)
             self.counters[f"took_{kind.lower()}" if kind in self.kinds or kind == lines.PING else "took_unknown"] += 1
             if kind == lines.PING:
+                self.counters["pongs_sent"] += 1
                 connection.write(lines.PONG)
             elif kind in self.kinds:
                 self.kinds[kind](connection, said)
