A doubt is settled when the channel has room, not when an endpoint returns

Cause (memory/sent.py bench): its return asked every proxy of which it is not known what it shuts out for a back, which the module charges to no one. Checked: binds and doubts are charged in full, unbound proxies played no part. The doubt now waits for _settle, which charges it.

--- a/ravenshelf/memory/sent.py
+++ b/ravenshelf/memory/sent.py
@@ -98,7 +98,8 @@
     def bench(self, endpoint: int, out: bool) -> None:
         (self.benched.add if out else self.benched.discard)(endpoint)
         for held in self.proxies.values():
-            held.asked.add(endpoint)
+            if out or held.shuts_out(endpoint):     # a mere doubt is settled when the channel has room for it
+                held.asked.add(endpoint)
 
     def bind(self, proxy: int, table: int, groups: int = 0) -> None:
         if proxy not in self.proxies:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -220,6 +220,18 @@
     assert sent.doubts(proxy) == ([7] if doubts else [])
 
 
+def test_the_return_of_an_endpoint_says_nothing_to_those_of_whom_there_is_but_a_doubt(sent):
+    sent.joined(5, False)
+    sent.bind(5, 0)
+    sent.let_back(5, sent.doubts(5))
+    said(sent)
+    sent.bench(4, True)
+    said(sent)
+    sent.bench(4, False)
+    sent.line(0, 4, 1.0)
+    assert said(sent) == {p: [Part(lines=[(4, 1.0)])] for p in (1, 5)} and sent.doubts(5) == [4]
+
+
 def test_what_is_withdrawn_is_never_let_back_by_a_doubt(sent):
     sent.bench(1, True)
     sent.joined(5, False)
