--- a/ravenshelf/__main__.py
+++ b/ravenshelf/__main__.py
@@ -23,11 +23,13 @@
 @app.command()
 def serve(
     config: Config = None,
-    log_level: Annotated[str, typer.Option(help="Least level of log lines.")] = "INFO",
+    log_level: Annotated[str, typer.Option(help="Least level of log lines: DEBUG, INFO, WARNING or ERROR.")] = "INFO",
     counters_every: Annotated[float, typer.Option(help="Seconds between prints of the counters; 0: none.")] = 0,
 ):
     """Run one pilot until SIGTERM. Its counters are printed at the end and on SIGUSR1."""
-    from ravenshelf.process import run
+    from ravenshelf.process import logs, run
+    if log_level.upper() not in logs.LEVELS:
+        raise typer.BadParameter(f"expected one of {', '.join(logs.LEVELS)}", param_hint="--log-level")
     raise typer.Exit(run.run(read(config), log_level.upper(), counters_every))
 
 
--- a/ravenshelf/process/logs.py
+++ b/ravenshelf/process/logs.py
@@ -6,6 +6,9 @@
 from loguru import logger
 
 A_SECOND, BURST, WAITING = 20, 200, 1000
+LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+COUNTERS = "COUNTERS"       # over all others: what was asked for is printed at any level
+logger.level(COUNTERS, no=60)
 
 
 class Sink:
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -19,6 +19,7 @@
 from ravenshelf.net.http import Call
 from ravenshelf.process.discovery import Discovery
 from ravenshelf.process.door import Door
+from ravenshelf.process.logs import COUNTERS
 from ravenshelf.process.probes import Probes
 from ravenshelf.process.rounds import Rounds
 from ravenshelf.provisioning import provisioning
@@ -223,7 +224,7 @@
         usage = {"connections": len(self.slots), "proxies": len(self.door.streams), "calls": len(self.calls),
                  "endpoints": len(self.listing.entries), "deadlines": len(self.deadlines.at)}
         now = " ".join(f"{name}={value}" for name, value in usage.items())
-        logger.log("SUCCESS", "counters: {} {}", now, self.counters.text())
+        logger.log(COUNTERS, "counters: {} {}", now, self.counters.text())
 
 
 async def serve(configuration: dict, clock: Callable[[], int], counters_every: int = 0) -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -522,6 +522,7 @@
 @pytest.mark.parametrize("arguments, code, told", [
     (["version"], 0, "ravenshelf 0."), (["--help"], 0, "serve"), (["check", "-c", "{good}"], 0, "known endpoints 2"),
     (["check", "-c", "{bad}"], 2, "listen: expected host:port, not None"), (["serve", "-c", "{bad}"], 2, "ravenshelf: listen"),
+    (["serve", "-c", "{good}", "--log-level", "loud"], 2, "expected one of DEBUG"),
 ])
 def test_the_command_line(tmp_path, arguments, code, told):
     for name, said in (("good", GOOD), ("bad", {k: v for k, v in GOOD.items() if k != "listen"})):
