SIGHUP reads the configuration again and moves the watch to the new address

Fault: process/pilot.py serve() set handlers for SIGTERM, SIGINT and SIGUSR1 alone, and calls went to the address read at the start. Now: the file is read and checked whole, only discovery's address is taken, a broken file changes nothing and is read again. The old watch is heard until the new one answers.

--- a/ravenshelf/__main__.py
+++ b/ravenshelf/__main__.py
@@ -1,4 +1,5 @@
 """ravenshelf: serve, check, version."""
+import signal
 import sys
 from pathlib import Path
 from typing import Annotated, Optional
@@ -26,11 +27,13 @@
     log_level: Annotated[str, typer.Option(help="Least level of log lines: DEBUG, INFO, WARNING or ERROR.")] = "INFO",
     counters_every: Annotated[float, typer.Option(help="Seconds between prints of the counters; 0: none.")] = 0,
 ):
-    """Run one pilot until SIGTERM. Its counters are printed at the end and on SIGUSR1."""
+    """Run one pilot until SIGTERM. Its counters are printed at the end and on SIGUSR1; SIGHUP reads the file again."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)    # until the loop takes it, the file has yet to be read
     from ravenshelf.process import logs, run
     if log_level.upper() not in logs.LEVELS:
         raise typer.BadParameter(f"expected one of {', '.join(logs.LEVELS)}", param_hint="--log-level")
-    raise typer.Exit(run.run(read(config), log_level.upper(), counters_every))
+    path = str(config) if config else None
+    raise typer.Exit(run.run(read(config), lambda: configuration.read(path), log_level.upper(), counters_every))
 
 
 @app.command()
--- a/ravenshelf/process/configuration.py
+++ b/ravenshelf/process/configuration.py
@@ -86,6 +86,20 @@
     return check(said)
 
 
+def renewed(old: dict, new: dict) -> tuple[dict, list[str]]:
+    """The configuration that a reload makes of both, and what of the new one waits for a restart.
+
+    Only discovery's address is taken: what is known of the list is newer than `known`, a seed begins with a start."""
+    waiting = []
+    for name in sorted((set(old) | set(new)) - {"discovery", "known", "seed"}):
+        had, has = old.get(name), new.get(name)
+        if isinstance(had, dict) and isinstance(has, dict):
+            waiting += [f"{name}.{part}" for part in sorted(set(had) | set(has)) if had.get(part) != has.get(part)]
+        elif had != has:
+            waiting.append(name)
+    return old | {"discovery": new["discovery"]}, waiting
+
+
 def summary(said: dict) -> str:
     settings = said["settings"]
     known = said.get("known") or {"targets": []}
--- a/ravenshelf/process/discovery.py
+++ b/ravenshelf/process/discovery.py
@@ -23,6 +23,8 @@
         self.listing, self.catalog, self.counters = listing, catalog, counters
         self.open_call, self.news, self.pushed = open_call, news, pushed
         self.watch: Call | None = None
+        self.former: Call | None = None     # at the address left behind, heard until the new one answers
+        self.moved = False                  # whether the address is new: its versions may be others
         self.answered, self.after, self.again = False, 0, None
         self.extend: Callable = lambda call, time: None
         self.later: Callable = lambda time: None
@@ -36,6 +38,19 @@
         if on:
             self.begin()
 
+    def move(self) -> None:
+        """Discovery has another address. What is open at the old one is heard until the new one answers."""
+        self.moved = True
+        if self.watch is not None:
+            self._leave_former()
+            self.former, self.watch = self.watch, None
+        self.begin()
+
+    def _leave_former(self) -> None:
+        former, self.former = self.former, None
+        if former is not None:
+            former.close(End.SUPERSEDED)
+
     def begin(self) -> None:
         self.counters["discovery_watches"] += 1
         self.answered, self.after = False, self.listing.rev
@@ -43,6 +58,7 @@
         self.watch = self.open_call(WATCH, path, self._watch_ended, self._watch_said, ANSWER_BY)
 
     def end_watch(self) -> None:
+        self._leave_former()
         watch, self.watch = self.watch, None
         if watch is not None:
             watch.close(End.SUPERSEDED)
@@ -54,10 +70,13 @@
     # --- what comes back ---
 
     def _watch_said(self, call: Call, line: bytes) -> None:
-        if call is not self.watch:
+        if call is self.watch:
+            self._leave_former()
+        elif call is not self.former:
             return
         self.extend(call, SILENCE)
         if not line:
+            self.moved = self.moved and call is not self.watch
             if not self.answered:       # nothing has changed since the version we hold
                 self.answered = True
                 self.news("listed", ("update", ()))
@@ -69,6 +88,13 @@
             call.close(End.UNREADABLE)
             return
         changes = not said.get("all", False)
+        if call is self.watch and self.moved:
+            self.moved = False
+            if said["rev"] < self.listing.rev:      # versions of its own: only its whole list tells where it stands
+                self.listing.rev = self.after = 0
+                if changes:
+                    call.close(End.UNREADABLE)
+                    return
         taken = self._take(said, "update" if changes else "replace", self.after if changes else None)
         if taken == "gap":
             self.counters["discovery_gaps"] += 1
@@ -82,6 +108,8 @@
         self.answered = True
 
     def _watch_ended(self, call: Call) -> None:
+        if call is self.former:
+            self.former = None
         if call is not self.watch:
             return
         self.watch = None
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -17,6 +17,7 @@
 from ravenshelf.net.catalog import Catalog
 from ravenshelf.net.ends import End
 from ravenshelf.net.http import Call
+from ravenshelf.process.configuration import Wrong, renewed
 from ravenshelf.process.discovery import Discovery
 from ravenshelf.process.door import Door
 from ravenshelf.process.logs import COUNTERS
@@ -29,6 +30,7 @@
 BACKLOG = 256
 AFTER_FAILURE = 250_000
 STOOD_STILL, READ_FIRST = 500_000, 0.02     # a timer so late means that the process stood still; seconds to read
+READ_AGAIN, READS = 500_000, 10     # a configuration that can't be used may be half written still
 
 
 class Pilot:
@@ -63,6 +65,8 @@
         self.timer: asyncio.Handle | None = None
         self.timer_at: int | None = None
         self.counters_every = 0
+        self.again: Callable[[], dict] = lambda: self.configuration
+        self.reads = 0      # left for a configuration that could not be used
         self.ready, self.last_round, self.round_at, self.stopped = False, 0, 0, loop.create_future()
 
     # --- deadlines and rounds ---
@@ -106,7 +110,10 @@
             if call is not None:
                 call.close(End.SILENT)
         elif key[0] == "watch":
-            self.discovery.begin()
+            if self.discovery.watch is None:
+                self.discovery.begin()
+        elif key[0] == "reload":
+            self.reload(self.reads - 1)
         elif key[0] == "round":
             self.round()
         elif key[0] == "count":
@@ -203,6 +210,28 @@
             self.deadlines.set(("count",), self.clock() + self.counters_every)
         self.arm()
 
+    def reload(self, reads: int = READS) -> None:
+        """Reads the configuration again and takes it whole; one that can't be used changes nothing."""
+        if self.stopped.done():
+            return
+        self.deadlines.drop(("reload",))
+        self.reads = reads
+        try:
+            new, waiting = renewed(self.configuration, self.again())
+        except Wrong as why:
+            self.counters["reloads_failed"] += 1
+            logger.warning("the new configuration is not taken: {}", why)
+            if reads > 1:
+                self.set_deadline(("reload",), self.clock() + READ_AGAIN)
+            return
+        self.counters["reloads"] += 1
+        moved = new["discovery"] != self.configuration["discovery"]
+        self.configuration = new
+        logger.info("took a new configuration: discovery at {}{}", new["discovery"],
+                    f"; waits for a restart: {', '.join(waiting)}" if waiting else "")
+        if moved:
+            self.discovery.move()
+
     def stop(self) -> None:
         """Takes no more, writes what is ready, and lets the process end."""
         if self.stopped.done():
@@ -227,14 +256,16 @@
         logger.log(COUNTERS, "counters: {} {}", now, self.counters.text())
 
 
-async def serve(configuration: dict, clock: Callable[[], int], counters_every: int = 0) -> None:
+async def serve(configuration: dict, again: Callable[[], dict], clock: Callable[[], int], counters_every: int) -> None:
+    """`again` reads the configuration anew at each SIGHUP."""
     loop = asyncio.get_running_loop()
     pilot = Pilot(configuration, loop, clock)
-    pilot.counters_every = counters_every
+    pilot.counters_every, pilot.again = counters_every, again
     loop.set_exception_handler(pilot.failed)
     loop.add_signal_handler(signal.SIGTERM, pilot.stop)
     loop.add_signal_handler(signal.SIGINT, pilot.stop)
     loop.add_signal_handler(signal.SIGUSR1, pilot.count)
+    loop.add_signal_handler(signal.SIGHUP, pilot.reload)
     await pilot.start()
     host, port = pilot.server.sockets[0].getsockname()[:2]
     logger.info("{} serves at {}:{}", configuration.get("name"), host, port)
--- a/ravenshelf/process/run.py
+++ b/ravenshelf/process/run.py
@@ -1,5 +1,6 @@
 """The process: its log, its loop, its exit code."""
 import gc
+from typing import Callable
 
 import uvloop
 from loguru import logger
@@ -9,11 +10,11 @@
 from ravenshelf.process.pilot import serve
 
 
-def run(configuration: dict, level: str, counters_every: float) -> int:
+def run(configuration: dict, again: Callable[[], dict], level: str, counters_every: float) -> int:
     sink = logs.start(level)
     gc.freeze()     # what start has made stays; collections need not look at it again
     try:
-        uvloop.run(serve(configuration, Clock(), round(counters_every * 1e6)))
+        uvloop.run(serve(configuration, again, Clock(), round(counters_every * 1e6)))
         code = 0
     except Exception:
         logger.exception("the pilot can't go on")
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -15,6 +15,7 @@
 from ravenshelf.net.catalog import Catalog
 from ravenshelf.net.ends import End
 from ravenshelf.process import configuration, logs
+from ravenshelf.process.configuration import Wrong
 from ravenshelf.process.clock import Clock
 from ravenshelf.process.discovery import Discovery
 from ravenshelf.process.pilot import Pilot
@@ -122,6 +123,48 @@
     assert service.told == [("listed", ("update", []))] and new.end is End.SUPERSEDED
 
 
+def test_a_new_address_is_watched_before_the_old_one_is_let_go(service):
+    d = service.discovery
+    d.observe(True)
+    old = service.calls[-1]
+    old.says(6, target("s-2"))
+    d.move()
+    new = service.calls[-1]
+    old.says(7, target("s-3"))      # changes go on at the old one meanwhile
+    assert new.path.endswith("after=6") and old.end is None and service.told[-1] == ("listed", ("update", [(2, "ready")]))
+    new.says(7, target("s-3"))
+    assert old.end is End.SUPERSEDED and new.end is None and ("list_failed",) not in service.told
+    new.says(8, target("s-2", state="DRAINING"))
+    assert service.told[-1] == ("listed", ("update", [(1, "draining")]))
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_a_service_with_lower_versions_at_a_new_address_is_followed(service, whole):
+    d = service.discovery
+    d.observe(True)
+    service.calls[-1].says(6, target("s-2"))
+    service.calls[-1].close(End.RESET)
+    d.move()
+    service.calls[-1].says(2, target("s-2"), all=whole)
+    if not whole:       # changes since which version of ours can't be told: the next call asks for all
+        d.observe(True)
+        assert service.calls[-1].path.endswith("after=0")
+        service.calls[-1].says(2, target("s-2"), all=True)
+    assert service.listing.rev == 2 and service.told[-1] == ("listed", ("replace", [(1, "ready")]))
+
+
+def test_a_new_address_that_fails_is_asked_again(service):
+    d = service.discovery
+    d.observe(True)
+    old = service.calls[-1]
+    d.move()
+    service.calls[-1].close(End.REFUSED)
+    assert service.told[-1] == ("list_failed",)
+    old.close(End.RESET)
+    d.observe(True)
+    assert service.told.count(("list_failed",)) == 1 and len(service.calls) == 3
+
+
 def test_a_fetch_that_crosses_the_watch(service):
     service.discovery.observe(True)
     service.discovery.fetch()
@@ -273,7 +316,7 @@
         self.now, self.waiting, self.calls = 1000 * SECOND, [], []
 
     def create_future(self):
-        return None
+        return type("Future", (), {"done": lambda self: False})()
 
     def call_later(self, wait, what):
         handle = type("Handle", (), {"cancel": lambda h: self.waiting.remove((at, what))})()
@@ -346,6 +389,30 @@
     assert pilot.counters["deadlines_failed"] == 1 and pilot.counters["rounds"] > 2
 
 
+def test_a_reload_moves_discovery_and_loses_nothing(begun):
+    pilot, loop = begun
+    pilot.news("joined", (1, 0, 10.0, True))
+    pilot.news("listed", ("update", ((0, 0, 0, 0, "ready", 4.0, 0),)))
+    pilot.listing.endpoint("s-1")
+    loop.play(0.1)
+    controller, messages = pilot.rounds.controller, pilot.counters["messages_sent"]
+    texts = [Wrong("expected JSON"), Wrong("expected JSON"), GOOD | {"discovery": "127.0.0.1:99", "limits": {"sockets": 99},
+                                                                     "known": {"rev": 1, "targets": []}}]
+
+    def again():
+        said = texts.pop(0)
+        if isinstance(said, Wrong):
+            raise said
+        return said
+    pilot.again = again
+    pilot.reload()
+    assert pilot.discovery.watch.host == GOOD["discovery"] and pilot.counters["reloads_failed"] == 1
+    loop.play(2)        # half written at first, whole in the end
+    assert pilot.discovery.watch.host == "127.0.0.1:99" and pilot.counters["reloads"] == 1 and not texts
+    assert pilot.rounds.controller is controller and list(pilot.sent.proxies) == [1] and messages
+    assert pilot.counters["messages_sent"] == messages and pilot.configuration["limits"] == GOOD["limits"]
+
+
 @pytest.mark.parametrize("late, spoke, end", [(6.0, True, None), (6.0, False, End.SILENT), (0.0, False, End.SILENT)])
 def test_a_pilot_that_stood_still_reads_before_it_takes_others_for_silent(begun, late, spoke, end):
     pilot, loop = begun
@@ -481,7 +548,8 @@
     return b"%x\r\n%s\r\n" % (len(text), text)
 
 
-def test_the_program_binds_follows_the_list_and_stops(program):
+def test_the_program_binds_follows_the_list_reads_anew_and_stops(program, tmp_path):
+    file = tmp_path / "config.json"
     running, port, watch = program
     stranger = Line(port).say("PING")
     assert stranger.hear() == "PONG"
@@ -495,6 +563,14 @@
                   + chunk({"rev": 5, "all": False, "targets": [target("s-3"), target("s-1", state="DRAINING")]}))
     changed = proxy.hear()
     assert "s-3:1000" in changed and "s-1:0" in changed
+    moved = socket.create_server(("127.0.0.1", 0))
+    moved.settimeout(20)
+    file.write_text(json.dumps(json.loads(file.read_text()) | {"discovery": f"127.0.0.1:{moved.getsockname()[1]}"}))
+    running.send_signal(signal.SIGHUP)
+    watch, _ = moved.accept()
+    assert b"after=5" in watch.recv(4096)
+    watch.close()
+    moved.close()
     bad = Line(port).say("SUBSCRIBE proxy=9 zone=a weight=1 fresh=1")
     assert bad.hear() == ""
     running.send_signal(signal.SIGUSR1)
