--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -301,12 +301,12 @@
                 taken = {o.order for o in self.endpoints.values() if o.zone == zone and o.state != "gone"}
                 e.order = next(n for n in range(len(taken) + 1) if n not in taken)
             e.zone, e.kind, e.weight = min(zone, self.zones - 1), kind, max(weight, 1e-3)
-            if e.state != state:        # who drains and goes has left the tables before
-                e.state, self.changed = state, self.changed or int("ready" in (e.state, state))
+            if e.state != state:
+                e.state, self.changed = state, self.changed or 1
         if how != "update":
             for e in self.endpoints.values():
-                if e.index not in seen:
-                    e.state, self.changed = "gone", self.changed or int(e.state == "ready")
+                if e.index not in seen and e.state != "gone":
+                    e.state, self.changed = "gone", self.changed or 1
         self.ask_again = self.ask_again if how == "restored" else 0
 
     def list_failed(self):
@@ -456,8 +456,6 @@
     def write(self, table, lines, orders, urgent):
         """Turns a table into `lines`, charging every proxy on it; an empty table is never written."""
         had, users = self.lines.setdefault(table, {}), self.users(table)
-        scale = median([had[k] / w for k, w in lines.items() if k in had], 1.0)     # weights are relative:
-        lines = {k: max(0.01, round(w * scale, 2)) for k, w in lines.items()}   # what keeps its part is not sent
         new = [(k, w) for k, w in lines.items()
                if k not in had or (abs(had[k] - w) > (0.0 if not users else 0.15 * max(had[k], w)))]
         old = [k for k in had if k not in lines]
@@ -541,8 +539,7 @@
             for t in [t for t in ((table, table ^ 1) if old else (table,)) if not only or t in only]:
                 self.write(t, lines, orders, urgent or 1)
         elif not old:           # else the last staging is not over: two splits would clash
-            scale = 1000 / sum(had.values())
-            moved = sum(abs(lines.get(k, 0) - scale * had.get(k, 0)) for k in set(lines) | set(had)) / 2000
+            moved = sum(abs(lines.get(k, 0) - had.get(k, 0)) for k in set(lines) | set(had)) / 2000
             if moved >= WORTH_LINES:
                 orders.clear(table ^ 1)
                 self.lines[table ^ 1], self.levels[table ^ 1] = {}, {}
