A new endpoint ramps over the time after which the settings call it warm, not 30 s

Trace of belief: after a release 20 of 30 endpoints stood at a ramp of 0.44 to 0.52 while warm-after-ms is 16 s; the pilot that had just started gave the four old ones of zone 0 up to 6 flows a second, they held 24 to 33 in hand and dropped 22 of 39; the curves learnt from that jam sent 47% and 65% of zones 0 and 1 to zone 3, which jammed in turn (38 in hand). Ruled out: the move of discovery (list taken in each reload, no failed call), the channel (queue under 1,300), late reports (window 1 to 2 s). At fault: rules.py ramp(), 30 s whatever the settings promise.

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -360,7 +360,8 @@
         if e.start <= 0:
             return 1.0
         cold = self.rules.get("cold_share", 0.2) / self.frail * (1.0 if self.work else BLIND)
-        return min(1.0, cold + (1 - cold) * max(0, self.now - e.start) / RAMP)
+        span = min(RAMP, self.rules.get("warm_after_us") or RAMP)     # by then it is promised to be warm
+        return min(1.0, cold + (1 - cold) * max(0, self.now - e.start) / span)
 
     def open(self, e):
         """Whether tables may hold it; where removal does not bind, only draining shuts an endpoint out."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -126,6 +126,16 @@
     assert p.load(0) == pytest.approx(0.5, abs=0.1)
 
 
+@pytest.mark.parametrize("rules, share", [({"warm_after_us": 16 * SECOND}, 1.0), ({}, 0.6), ({"warm_after_us": 90 * SECOND}, 0.6)])
+def test_an_endpoint_counts_in_full_once_it_is_promised_to_be_warm(pilot, rules, share):
+    c = pilot(rules=rules | {"cold_share": 0.2, "fall_multiple": 4.0}).controller
+    c.work, e = 0.2, c.endpoints[0]
+    e.start = c.now - 16 * SECOND
+    assert c.ramp(e) == pytest.approx(share, abs=0.05)
+    e.start = c.now - 4 * SECOND
+    assert c.ramp(e) <= 0.2 + 0.8 * 4 / 16
+
+
 def test_a_restart_at_full_weight_is_cold_at_once(pilot):
     p = pilot()
     p.run(3)
