--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -10,7 +10,7 @@
 
 SECOND = 1_000_000
 BEAT, STEP, STAGE_PART = 5 * SECOND // 2, SECOND // 4, 0.2      # the solver's beat; steps of a staging
-DEMAND_SPAN, QUIET = 5 * SECOND // 2, 0.02      # fades as what a window of 5 s holds; heard of so little: none
+DEMAND_SPAN = 5 * SECOND // 2               # fades as old, on the mean, as what a window of 5 s holds
 TARGET, QUANTUM, GAP_MOVES = 0.05, 0.01, 1000    # of misses; of demand; what a gap must move to count
 BOUND_TIMES, BOUND_HEARD = 3, 10 * SECOND   # the bound of a miss: times the median of the first while
 RAMP, RETURN = 30 * SECOND, 10 * SECOND     # of a new endpoint; within which a zone that was lost returns
@@ -74,8 +74,8 @@
     def demand(self, now):
         """Flows a second of each group; None as long as nothing was heard."""
         sums = [d.read(now) for d in self.flows]
-        longest = max((s[1] for s in sums), default=0)    # a group that has no flows any more goes unreported
-        return [s[0] / max(s[1], QUIET * longest) for s in sums] if longest > 0.05 else None
+        longest = max((s[1] for s in sums), default=0)    # a group without flows goes unreported
+        return [s[0] / longest for s in sums] if longest > 0.05 else None
 
 
 class Channel:
