Figures to Graphite, values from collectd, and the ground: operator file, events, background work

Change: packages graphite, collectd, background, operating, store; events in one catalogue; stand-ins for carbon, collectd and the world; the module takes 'noticed' (a machine busier than its zone's middle fades a weight to half at most). Found on the way: loguru took the log's sink for a file, since it had a method write, so neither the bound on lines nor the writing thread had ever been in use; renamed, and a test through loguru.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# make try: a toy world and a pilot, until Ctrl-C. make test: all tests. Each makes the environment that it needs.
+VENV := .venv-dev
+PYTHON := $(VENV)/bin/python
+
+.PHONY: try test pages bench-short
+
+try: $(VENV)/made
+	@exec $(PYTHON) -m examples.toy --with-pilot
+
+test: $(VENV)/made
+	$(PYTHON) -m pytest -q -p no:cacheprovider
+
+# the catalogues of the operators' pages, made from the code
+pages: $(VENV)/made
+	$(PYTHON) docs/pages.py
+
+bench-short: $(VENV)/made
+	$(PYTHON) -m benchmarks.graphite --short
+	$(PYTHON) -m benchmarks.neighbour --short
+
+$(VENV)/made: requirements.txt requirements-dev.txt
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip -q install -r requirements-dev.txt
+	touch $@
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Worlds to try ravenshelf in."""
--- a/ravenshelf/__init__.py
+++ b/ravenshelf/__init__.py
@@ -1,2 +1,2 @@
 """ravenshelf: tells forwarders where work goes."""
-__version__ = "0.2.0"
+__version__ = "0.3.0"
--- /dev/null
+++ b/ravenshelf/graphite/__init__.py
@@ -0,0 +1,1 @@
+"""The pilot's figures to Graphite: carbon's plaintext and pickle protocols over TCP."""
--- a/ravenshelf/interface.py
+++ b/ravenshelf/interface.py
@@ -15,6 +15,7 @@
 | asked | proxy, traffic group, flows, flows let in without an answer, window |
 | applied | proxy, mark, time from the order to its effect |
 | probed | endpoint, whether it answered, time it took, load report |
+| noticed | endpoint, share of its machine that is busy (0 to 1), age of that in microseconds |
 | told | peer, bytes |
 | woken | the key given to `wake` |
 | granted, stored | slices: (slice, on), (slice, endpoint, weight) |
--- a/ravenshelf/memory/sent.py
+++ b/ravenshelf/memory/sent.py
@@ -175,6 +175,12 @@
         all_ = self.levels.get(EVERYWHERE, {}).get(group)
         return (min(own[0], all_[0]), own[1]) if own and all_ else own or all_
 
+    def level_of(self, proxy: int, group: int) -> float | None:
+        """The level that the proxy was last sent for a group, or None."""
+        held = self.proxies.get(proxy)
+        level = self._effective(held.bound.get(group), group) if held is not None else None
+        return level[0] if level else None
+
     def _message(self, held: Held) -> list[Part]:
         parts, added = [], {}
         by_table: dict[int | None, list[int]] = {}
--- /dev/null
+++ b/ravenshelf/operating/tables.py
@@ -0,0 +1,56 @@
+"""The operator file's tables: every key, its type, bounds and default, in this one place. All is off by default."""
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct, field
+
+Whole = Annotated[int, Meta(ge=0)]
+
+
+def said(kind, expected: str, **bounds):
+    """A key's type; `expected` is how the check names it."""
+    return Annotated[kind, Meta(description=expected, **bounds)]
+
+
+class Log(Struct, forbid_unknown_fields=True, frozen=True):
+    """What the log looks like."""
+    format: said(Literal["text", "json"], '"text" or "json"') = "text"
+
+
+class Background(Struct, forbid_unknown_fields=True, frozen=True):
+    """Loop time for work that is not table lines."""
+    jobs: said(int, "a whole number from 8 to 100000", ge=8, le=100_000) = 256
+    turn_ms: said(float, "a number from 0.1 to 20", ge=0.1, le=20) = 2.0
+    a_second_ms: said(float, "a number from 1 to 900", ge=1, le=900) = 100.0
+    ageing_s: said(float, "a number from 0.1 to 600", ge=0.1, le=600) = 5.0
+
+
+class Graphite(Struct, forbid_unknown_fields=True, frozen=True):
+    """Figures to carbon receivers; off without receivers."""
+    receivers: said(list[str], 'a list of "host:port"') = field(default_factory=list)
+    protocol: said(Literal["plaintext", "pickle"], '"plaintext" or "pickle"') = "plaintext"
+    prefix: said(str, "words parted by dots, of letters, digits, _ and -",
+                 pattern=r"^[A-Za-z0-9_\-]+(\.[A-Za-z0-9_\-]+)*$", max_length=120) = "ravenshelf"
+    every_s: said(int, "a whole number from 1 to 3600", ge=1, le=3600) = 10
+    route: said(Literal["all", "hash"], '"all" or "hash"') = "all"
+    buffer_points: said(int, "a whole number from 1000 to 10000000", ge=1000, le=10_000_000) = 20_000
+    backfill_points_s: said(int, "a whole number from 10 to 1000000", ge=10, le=1_000_000) = 2_000
+    spool_mb: said(float, "a number from 0 (no spool) to 100000", ge=0, le=100_000) = 0.0
+    spool_dir: said(str, "the path of a folder, given with spool_mb") = ""
+
+
+class Collectd(Struct, forbid_unknown_fields=True, frozen=True):
+    """Values from collectd as a signal; off without an address to listen at."""
+    listen: said(str, '"host:port", or "" for off') = ""
+    security: said(Literal["none", "sign", "encrypt"], '"none", "sign" or "encrypt"') = "none"
+    users: said(str, "the path of a file of `user: password` lines") = ""
+    plugins: said(list[Literal["cpu", "load"]], 'a list of "cpu" and "load"') = field(default_factory=lambda: ["cpu"])
+    hosts: said(dict[str, list[str]], "a table of host = [endpoints]") = field(default_factory=dict)
+    types: said(str, "the path of a types.db") = ""
+
+
+class Operator(Struct, forbid_unknown_fields=True, frozen=True):
+    """The whole file."""
+    log: Log = field(default_factory=Log)
+    background: Background = field(default_factory=Background)
+    graphite: Graphite = field(default_factory=Graphite)
+    collectd: Collectd = field(default_factory=Collectd)
--- a/ravenshelf/process/discovery.py
+++ b/ravenshelf/process/discovery.py
@@ -1,8 +1,7 @@
 """Discovery as the pilot asks it: one answer for each call, changes while a watch lasts, its end told once."""
 from typing import Callable
 
-from loguru import logger
-
+from ravenshelf import events
 from ravenshelf.memory.counters import Counters
 from ravenshelf.memory.listing import Listing
 from ravenshelf.net.catalog import Catalog, Unreadable
@@ -84,7 +83,7 @@
         try:
             said = self.catalog.read(line)
         except Unreadable as why:
-            logger.warning("discovery's watch: {}", why)
+            events.WATCH_UNREADABLE(why=str(why))
             call.close(End.UNREADABLE)
             return
         changes = not said.get("all", False)
@@ -125,7 +124,7 @@
         try:
             said = self.catalog.read(call.body)
         except Unreadable as why:
-            logger.warning("discovery's list: {}", why)
+            events.LIST_UNREADABLE(why=str(why))
             self._failed(FETCH, End.UNREADABLE, call)
             return
         taken = self._take(said, "replace" if said.get("all", True) else "update", None)
@@ -136,7 +135,7 @@
         if name is None:
             return
         self.counters[f"discovery_{end.name.lower()}"] += 1
-        logger.info("discovery's {} {}{}", purpose, end.value, f" ({call.status})" if call.status else "")
+        events.DISCOVERY_ENDED(purpose=purpose, end=end.value, status=f" ({call.status})" if call.status else "")
         if not self.pushed:
             self.news(name, ())
 
@@ -144,7 +143,7 @@
         entries, addresses, broken = self.catalog.entries(said["targets"])
         for index, why in broken:
             self.counters["list_entries_broken"] += 1
-            logger.warning("a broken entry of the list: {}", why)
+            events.ENTRY_BROKEN(why=why)
             if how == "replace" and index in self.listing.entries:      # kept as it was: a slip is no removal
                 entries.append(self.listing.entries[index])
         if how == "replace" and any(index is None for index, _ in broken):
--- a/ravenshelf/process/door.py
+++ b/ravenshelf/process/door.py
@@ -1,8 +1,7 @@
 """Who comes to the pilot's address: strangers, collectors, and the streams of proxies."""
 from typing import Callable
 
-from loguru import logger
-
+from ravenshelf import events
 from ravenshelf.memory.counters import Counters
 from ravenshelf.memory.deadlines import Deadlines
 from ravenshelf.memory.slots import Slots
@@ -108,7 +107,7 @@
                 self.kinds[kind](connection, lines.named(said))
             self.counters[f"took_{kind.lower()}"] += 1
         except Malformed as why:
-            logger.warning("{} {} said {!r}: {}", connection.purpose, connection.peer, line[:120], why)
+            events.SPOILT(purpose=connection.purpose, peer=connection.peer, line=repr(line[:120]), why=str(why))
             if isinstance(why, Unreadable) or connection.purpose == STRANGER:
                 self.counters["unreadable"] += 1
                 connection.close(End.UNREADABLE)
--- a/ravenshelf/process/logs.py
+++ b/ravenshelf/process/logs.py
@@ -1,19 +1,25 @@
 """Log lines on standard error: bounded in rate, written by a thread so that a full pipe never blocks the loop."""
+import json
 import queue
 import sys
 import threading
+from datetime import timezone
+from typing import Callable
 
 from loguru import logger
 
+from ravenshelf.events import LEVELS
+
+__all__ = ["LEVELS", "Sink", "start"]
 A_SECOND, BURST, WAITING = 20, 200, 1000
-LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
-COUNTERS = "COUNTERS"       # over all others: what was asked for is printed at any level
-logger.level(COUNTERS, no=60)
 
 
 class Sink:
-    def __init__(self, write):
-        self.lines, self.write, self.lost = queue.Queue(WAITING), write, 0
+    """`form` is "text" or "json"; it may change while the log is written. It must have no method `write`: loguru
+    would take it for a file and call that, past the bound and the thread."""
+
+    def __init__(self, out: Callable[[str], None], form: str = "text"):
+        self.lines, self.out, self.lost, self.form = queue.Queue(WAITING), out, 0, form
         self.left, self.at = float(BURST), 0.0
         self.thread = threading.Thread(target=self._run, daemon=True)
         self.thread.start()
@@ -26,7 +32,10 @@
             self.lost += 1
             return
         self.left = max(0.0, self.left - 1)
-        text = f"({self.lost} lines left out) {message}" if self.lost else str(message)
+        if self.form == "json":
+            text = as_json(message.record, self.lost)
+        else:
+            text = f"({self.lost} lines left out) {message}" if self.lost else str(message)
         try:
             self.lines.put_nowait(text)
             self.lost = 0
@@ -36,7 +45,7 @@
     def _run(self) -> None:
         while (text := self.lines.get()) is not None:
             try:
-                self.write(text)
+                self.out(text)
             except (OSError, ValueError):
                 pass        # nobody reads; the pilot goes on
 
@@ -49,12 +58,25 @@
         self.thread.join(seconds)
 
 
-def start(level: str) -> Sink:
-    def write(text: str) -> None:
+def as_json(record: dict, lost: int = 0) -> str:
+    """One object: when, level, the event's stable name, its fields, its words."""
+    said = {"at": record["time"].astimezone(timezone.utc).isoformat(timespec="milliseconds"),
+            "level": record["level"].name, "event": "", **record["extra"], "message": record["message"]}
+    if record["exception"] is not None:
+        from traceback import format_exception
+        why = record["exception"]
+        said["trace"] = "".join(format_exception(why.type, why.value, why.traceback))
+    if lost:
+        said["left_out"] = lost
+    return json.dumps(said, default=str) + "\n"
+
+
+def start(level: str, form: str = "text", write: Callable[[str], None] | None = None) -> Sink:
+    def stderr(text: str) -> None:
         sys.stderr.write(text)
         sys.stderr.flush()
 
-    sink = Sink(write)
+    sink = Sink(write or stderr, form)
     logger.remove()
     logger.add(sink, level=level, format="{time:HH:mm:ss.SSS} {level} {message}", catch=True)
     return sink
--- /dev/null
+++ b/ravenshelf/process/operations.py
@@ -0,0 +1,229 @@
+"""What the operator file turns on beside a pilot: background work, figures to Graphite, collectd's values.
+
+Nothing of it is imported where the file leaves it off, and nothing of it can hold up a round: its deadlines are met
+after the rounds', its work is done in slices that give way to them.
+"""
+import os
+import random
+import resource
+from typing import Callable
+
+from ravenshelf import events
+from ravenshelf.background.decisions import PRESENT, UPKEEP, Agenda
+from ravenshelf.background.scheduler import Background
+from ravenshelf.operating.tables import Operator
+
+SECOND = 1_000_000
+USERS_EVERY = 10 * SECOND       # the file of collectd's users is looked at so often
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+def vitals() -> tuple[float, int]:
+    """Resident memory in MB, open descriptors."""
+    with open("/proc/self/statm", "rb") as file:
+        pages = int(file.read().split()[1])
+    return pages * PAGE / 1e6, len(os.listdir("/proc/self/fd"))
+
+
+class Operations:
+    KEYS = ("background", "figures", "graphite", "users")       # the deadlines that are met here
+
+    def __init__(self, operator: Operator, pilot, chance: random.Random):
+        self.operator, self.pilot, self.chance = operator, pilot, chance
+        self.counters, self.clock = pilot.counters, pilot.clock
+        self.background = Background(self._agenda(operator.background), pilot.clock,
+                                     lambda at: pilot.set_deadline(("background",), at), pilot.round_due,
+                                     pilot.counters)
+        self.graphite = self.gatherer = self.listener = None
+        self.places: tuple[int, dict] = (-1, {})        # the list's version, endpoints by host
+        self.before: dict[str, float] = {}
+        self.users_seen: float = 0.0
+
+    @staticmethod
+    def _agenda(table) -> Agenda:
+        return Agenda(table.jobs, round(table.turn_ms * 1000), round(table.a_second_ms * 1000),
+                      round(table.ageing_s * SECOND))
+
+    async def start(self) -> None:
+        if self.operator.graphite.receivers:
+            self._start_graphite()
+        if self.operator.collectd.listen:
+            await self._start_collectd()
+
+    # --- Graphite ---
+
+    def _start_graphite(self) -> None:
+        from ravenshelf.graphite.gather import Gatherer
+        from ravenshelf.graphite.service import Graphite
+        pilot, table = self.pilot, self.operator.graphite
+        self.gatherer = Gatherer(pilot.rounds.provisioning, self._prefix(table), self.clock())
+        self.gatherer.level_of, self.gatherer.name_of = pilot.sent.level_of, lambda n: pilot.listing.names[n]
+        self.gatherer.heard("listed", ("restored", pilot.listing.whole()), self.clock())
+        for values in pilot.rounds.joined.values():
+            self.gatherer.heard("joined", values, self.clock())
+        self.graphite = Graphite(table, self.chance, loop=pilot.loop, clock=self.clock, background=self.background,
+                                 again=lambda receiver, at: pilot.set_deadline(("graphite", receiver), at))
+        pilot.tap = pilot.rounds.tap = self.gatherer
+        self._next_figures(self.clock())
+
+    def _prefix(self, table) -> str:
+        from ravenshelf.graphite.formats import word
+        return f"{table.prefix}.{word(str(self.pilot.configuration.get('name', 'pilot')))}"
+
+    def _next_figures(self, now: int) -> None:
+        every = self.operator.graphite.every_s * SECOND
+        self.pilot.set_deadline(("figures",), (now // every + 1) * every)
+
+    def figures(self, now: int) -> None:
+        """Closes an interval; the points are made in the background and carry the interval's boundary as time."""
+        from ravenshelf.graphite.service import aligned
+        self._next_figures(now)
+        time = aligned(now, self.operator.graphite.every_s)
+        take = lambda importance, points: self.graphite.take(time, importance, points)      # noqa: E731
+        work = self.gatherer.points(now, self.pilot.rounds.controller, self._counts(now), take)
+        self.background.offer("figures", PRESENT, 2 * SECOND, work)
+
+    def _counts(self, now: int) -> dict[str, float]:
+        """What others have counted: sums as rates a second since the last figures, levels as they are."""
+        from ravenshelf.graphite import figures
+        memory, descriptors = vitals()
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        counts = self.graphite.counts() | {
+            figures.MEMORY.path: memory, figures.DESCRIPTORS.path: descriptors,
+            figures.BACKGROUND_WAITING.path: len(self.background.agenda),
+            figures.BACKGROUND_DROPPED.path: self.counters["background_dropped"],
+            figures.MODULE_FAILURES.path: self.counters["module_failures"]}
+        sums = {figures.ROUNDS.path: self.counters["rounds"], figures.MESSAGES.path: self.counters["messages_sent"],
+                figures.LINES.path: self.counters["lines_sent"], figures.CPU.path: usage.ru_utime + usage.ru_stime,
+                figures.BACKGROUND_PART.path: self.counters["background_us"] / 1e6}
+        if self.listener is not None:
+            sums |= {figures.PACKETS.path: self.counters["collectd_packets"],
+                     figures.REFUSED.path: self.counters["collectd_refused"],
+                     figures.VALUES.path: self.counters["collectd_values"]}
+        was, self.before = self.before, sums | {"at": now}
+        if was:
+            seconds = max(1e-3, (now - was["at"]) / SECOND)
+            counts |= {path: (number - was.get(path, 0)) / seconds for path, number in sums.items()}
+        return counts
+
+    # --- collectd ---
+
+    async def _start_collectd(self) -> None:
+        from pathlib import Path
+
+        from ravenshelf.collectd import types, users
+        from ravenshelf.collectd.decisions import Signals
+        from ravenshelf.collectd.listener import Listener
+        from ravenshelf.net.datagrams import address
+        table = self.operator.collectd
+        known = users.Users(users.load(table.users) if table.users else {})
+        text = Path(table.types).read_text(encoding="utf-8") if table.types else types.OWN
+        signals = Signals(self.endpoints, types.read(text, table.types or "types.db"), self.counters)
+        self.listener = Listener(table, known, signals, self.background, self.counters, self.clock, self.pilot.news)
+        transport, _ = await self.pilot.loop.create_datagram_endpoint(lambda: self.listener,
+                                                                      local_addr=address(table.listen))
+        host, port = transport.get_extra_info("sockname")[:2]
+        events.COLLECTD_LISTENS(address=f"{host}:{port}", security=table.security)
+        if table.users:
+            self.pilot.set_deadline(("users",), self.clock() + USERS_EVERY)
+
+    def endpoints(self, host: str) -> tuple[int, ...]:
+        """The listed endpoints on a collectd host: named in the operator file, or by its name, or by its address."""
+        listing = self.pilot.listing
+        if self.places[0] != listing.rev:
+            places: dict[str, list[int]] = {}
+            for index in listing.entries:
+                name = listing.names[index]
+                by_hand = [h for h, names in self.operator.collectd.hosts.items() if name in names]
+                address = listing.addresses.get(index, "").rpartition(":")[0]
+                for place in by_hand or {name, address} - {""}:
+                    places.setdefault(place, []).append(index)
+            self.places = listing.rev, {place: tuple(found) for place, found in places.items()}
+            if self.listener is not None:
+                self.listener.signals.forget_strangers()
+        return self.places[1].get(host, ())
+
+    def _look_at_users(self, now: int) -> None:
+        """A changed file of users is taken without a signal, as collectd does."""
+        self.pilot.set_deadline(("users",), now + USERS_EVERY)
+
+        def work():
+            from ravenshelf.collectd import users
+            file = self.operator.collectd.users
+            try:
+                changed = os.stat(file).st_mtime_ns
+                if changed != self.users_seen:
+                    yield
+                    known, self.users_seen = users.load(file), changed
+                    self.listener.users.renew(known, self.clock())
+                    events.COLLECTD_USERS(users=len(known))
+            except (OSError, users.Wrong) as why:
+                events.COLLECTD_USERS_REFUSED(why=str(why))
+
+        self.background.offer("collectd.users", UPKEEP, USERS_EVERY, work(), perishable=True)
+
+    # --- the pilot's calls ---
+
+    def meet(self, key: tuple, now: int) -> None:
+        if key[0] == "background":
+            self.background.turn()
+        elif key[0] == "figures":
+            self.figures(now)
+        elif key[0] == "graphite":
+            self.graphite.turn(key[1])
+        elif key[0] == "users":
+            self._look_at_users(now)
+
+    def renew(self, operator: Operator, done: Callable[[str], None]) -> None:
+        """Takes a new operator file whole; `done` is told what changed. What listens anew does so on the loop."""
+        from ravenshelf.operating.reading import changed
+        old, self.operator = self.operator, operator
+        names = changed(old, operator)
+        if "background" in names:
+            jobs, self.background.agenda = self.background.agenda.jobs, self._agenda(operator.background)
+            self.background.agenda.jobs = jobs
+        if "graphite" in names:
+            self._renew_graphite(old.graphite, operator.graphite)
+        if "collectd" in names:
+            self.places = (-1, {})
+            self.pilot.loop.create_task(self._renew_collectd(old.collectd))
+        elif operator.collectd.users and self.listener is not None:
+            self._look_at_users(self.clock())
+        done(", ".join(f"[{name}]" for name in names) or "nothing changed")
+
+    def _renew_graphite(self, old, new) -> None:
+        if self.graphite is None:
+            if new.receivers:
+                self._start_graphite()
+            return
+        if not new.receivers:
+            self.graphite.close()
+            self.graphite = self.gatherer = self.pilot.tap = self.pilot.rounds.tap = None
+            self.pilot.deadlines.drop(("figures",))
+            return
+        self.graphite.renew(new)
+        self.gatherer.prefix = self._prefix(new)
+        if new.every_s != old.every_s:
+            self._next_figures(self.clock())
+
+    async def _renew_collectd(self, old) -> None:
+        """The signals learnt so far are kept where the listener only moves."""
+        was, self.listener = self.listener, None
+        if was is not None:
+            was.close()
+        if not self.operator.collectd.listen:
+            self.pilot.deadlines.drop(("users",))
+            return
+        try:
+            await self._start_collectd()
+        except OSError as why:
+            events.OPERATOR_REFUSED(why=f"[collectd] listen: {why}")
+            return
+        if was is not None and was.table.types == self.operator.collectd.types:
+            self.listener.signals.machines = was.signals.machines
+
+    def close(self) -> None:
+        if self.graphite is not None:
+            self.graphite.close()
+        if self.listener is not None:
+            self.listener.close()
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -1,11 +1,11 @@
 """One pilot: what comes in over the network, the rounds, what goes out, and the end."""
 import asyncio
+import random
 import signal
 import time
 from typing import Callable
 
-from loguru import logger
-
+from ravenshelf import events
 from ravenshelf.memory.buffers import Buffers
 from ravenshelf.memory.counters import Counters
 from ravenshelf.memory.deadlines import Deadlines
@@ -20,7 +20,6 @@
 from ravenshelf.process.configuration import Wrong, renewed
 from ravenshelf.process.discovery import Discovery
 from ravenshelf.process.door import Door
-from ravenshelf.process.logs import COUNTERS
 from ravenshelf.process.probes import Probes
 from ravenshelf.process.rounds import Rounds
 from ravenshelf.provisioning import provisioning
@@ -68,6 +67,10 @@
         self.counters_every = 0
         self.again: Callable[[], dict] = lambda: self.configuration
         self.reads = 0      # left for a configuration that could not be used
+        self.operations = None      # what an operator file turns on
+        self.operator_again: Callable | None = None
+        self.log = None             # the log's sink, whose form a new operator file may change
+        self.tap = None             # hears all that the module hears, where figures are sent
         self.ready, self.last_round, self.round_at, self.stopped = False, 0, 0, loop.create_future()
 
     # --- deadlines and rounds ---
@@ -93,12 +96,15 @@
             self.timer_at, self.timer = None, self.loop.call_later(READ_FIRST, self.turn)
             return
         self.timer = self.timer_at = None
-        for key in self.deadlines.due(now):
+        due = self.deadlines.due(now)
+        if self.operations is not None:     # what is beside table lines comes after them
+            due.sort(key=lambda key: key[0] in self.operations.KEYS)
+        for key in due:
             try:
                 self.meet(key, now)
             except Exception:       # one that fails must not take the others' turn, nor the next
                 self.counters["deadlines_failed"] += 1
-                logger.exception("the deadline {} failed", key)
+                events.DEADLINE_FAILED.raised(key=str(key))
         self.arm()
 
     def meet(self, key: tuple, now: int) -> None:
@@ -120,9 +126,18 @@
         elif key[0] == "count":
             self.deadlines.set(key, now + self.counters_every)
             self.count()
+        elif self.operations is not None:
+            self.operations.meet(key, now)
+
+    def round_due(self) -> bool:
+        """Whether table lines wait for their round."""
+        at = self.deadlines.at.get(("round",))
+        return at is not None and at[0] <= self.clock()
 
     def news(self, name: str, values: tuple) -> None:
         self.rounds.hear(name, values)
+        if self.tap is not None:
+            self.tap.heard(name, values, self.clock())
         if self.ready and ("round",) not in self.deadlines.at:
             self.round_at = max(self.clock(), self.last_round + self.tick)
             self.set_deadline(("round",), self.round_at)
@@ -130,13 +145,17 @@
     def round(self) -> None:
         """Hands all that came in to the module, and does what it ordered."""
         now = self.clock()
-        self.counters.most("loop_lag_most_us", now - self.round_at)
+        late = now - self.round_at
+        self.counters.most("loop_lag_most_us", late)
         self.last_round, began = now, time.perf_counter_ns()
         calls = self.rounds.run(now, self.door.write)
         if calls is None:       # a module that fails at every start must not take the whole core
             self.round_at = now + AFTER_FAILURE
             self.deadlines.set(("round",), self.round_at)
-        self.counters.most("round_most_us", (time.perf_counter_ns() - began) // 1000)
+        took = (time.perf_counter_ns() - began) // 1000
+        self.counters.most("round_most_us", took)
+        if self.tap is not None:
+            self.tap.played(late, took)
         for name, *values in calls or ():
             self.do(name, values)
 
@@ -144,7 +163,7 @@
         if name == "wake":
             self.set_deadline(("wake", *values), values[0])     # met in a later turn, even where it is past
         elif name == "log":
-            logger.info("decisions: {}", values[0])
+            events.DECISIONS(text=values[0])
         elif name == "observe":
             self.discovery.observe(values[0])
         elif name == "fetch":
@@ -193,7 +212,7 @@
             entries, addresses, broken = self.catalog.entries(known["targets"])
             self.listing.take("replace", known["rev"], [e for e in entries if e[4] != "gone"], addresses)
             for _, why in broken:
-                logger.warning("a broken entry of the known list: {}", why)
+                events.KNOWN_BROKEN(why=why)
         self.rounds.begin()
         self.ready, self.round_at = True, self.clock()
         self.round()
@@ -217,26 +236,43 @@
             return
         self.deadlines.drop(("reload",))
         self.reads = reads
+        if self.operator_again is not None and reads == READS:
+            self._reload_operator()
         try:
             new, waiting = renewed(self.configuration, self.again())
         except Wrong as why:
             self.counters["reloads_failed"] += 1
-            logger.warning("the new configuration is not taken: {}", why)
+            events.RELOAD_REFUSED(why=str(why))
             if reads > 1:
                 self.set_deadline(("reload",), self.clock() + READ_AGAIN)
             return
         self.counters["reloads"] += 1
         moved = new["discovery"] != self.configuration["discovery"]
         self.configuration = new
-        logger.info("took a new configuration: discovery at {}{}", new["discovery"],
-                    f"; waits for a restart: {', '.join(waiting)}" if waiting else "")
+        events.RELOADED(discovery=new["discovery"],
+                        waiting=f"; waits for a restart: {', '.join(waiting)}" if waiting else "")
         if moved:
             self.discovery.move()
 
+    def _reload_operator(self) -> None:
+        """Takes a new operator file whole; one that can't be used changes nothing."""
+        from ravenshelf.operating.reading import Wrong as WrongOperator
+        try:
+            operator = self.operator_again()
+        except WrongOperator as why:
+            self.counters["operator_refused"] += 1
+            events.OPERATOR_REFUSED(why=str(why))
+            return
+        if self.log is not None:
+            self.log.form = operator.log.format
+        self.operations.renew(operator, lambda changed: events.OPERATOR_TAKEN(changed=changed))
+
     def stop(self) -> None:
         """Takes no more, writes what is ready, and lets the process end."""
         if self.stopped.done():
             return
+        if self.operations is not None:
+            self.operations.close()
         if self.server is not None:
             self.server.close()
         for connection in list(self.slots.held.values()):
@@ -248,17 +284,18 @@
     def failed(self, loop: asyncio.AbstractEventLoop, context: dict) -> None:
         """What failed in a call of the loop ends its connection, if it was one's; the pilot goes on."""
         self.counters["calls_failed"] += 1
-        logger.opt(exception=context.get("exception")).error("the loop: {}", context.get("message"))
+        events.LOOP_FAILED.raised(context.get("exception"), text=str(context.get("message")))
 
     def count(self) -> None:
         usage = {"connections": len(self.slots), "proxies": len(self.door.streams), "calls": len(self.calls),
                  "endpoints": len(self.listing.entries), "deadlines": len(self.deadlines.at)}
         now = " ".join(f"{name}={value}" for name, value in usage.items())
-        logger.log(COUNTERS, "counters: {} {}", now, self.counters.text())
+        events.COUNTED(now=now, since_start=self.counters.text())
 
 
-async def serve(configuration: dict, again: Callable[[], dict], clock: Callable[[], int], counters_every: int) -> None:
-    """`again` reads the configuration anew at each SIGHUP."""
+async def serve(configuration: dict, again: Callable[[], dict], clock: Callable[[], int], counters_every: int,
+                operator=None, operator_again: Callable | None = None, log=None) -> None:
+    """`again` reads the configuration anew at each SIGHUP, `operator_again` the operator file, where there is one."""
     loop = asyncio.get_running_loop()
     pilot = Pilot(configuration, loop, clock)
     pilot.counters_every, pilot.again = counters_every, again
@@ -268,8 +305,12 @@
     loop.add_signal_handler(signal.SIGUSR1, pilot.count)
     loop.add_signal_handler(signal.SIGHUP, pilot.reload)
     await pilot.start()
+    if operator is not None:
+        from ravenshelf.process.operations import Operations
+        pilot.operations, pilot.operator_again, pilot.log = Operations(operator, pilot, random.Random()), operator_again, log
+        await pilot.operations.start()
     host, port = pilot.server.sockets[0].getsockname()[:2]
-    logger.info("{} serves at {}:{}", configuration.get("name"), host, port)
+    events.SERVES(name=configuration.get("name"), address=f"{host}:{port}")
     await pilot.stopped
     pilot.count()
     await asyncio.sleep(0)
--- a/ravenshelf/process/rounds.py
+++ b/ravenshelf/process/rounds.py
@@ -1,8 +1,7 @@
 """The round: what came in goes to the module in one call, what it ordered goes out as one message a proxy."""
 from typing import Callable
 
-from loguru import logger
-
+from ravenshelf import events
 from ravenshelf.memory.counters import Counters
 from ravenshelf.memory.listing import Listing
 from ravenshelf.memory.sent import Sent
@@ -19,6 +18,7 @@
         self.joined: dict[int, tuple] = {}      # what was last said of each joined proxy
         self.news: list[tuple[str, tuple]] = []
         self.failures = 0
+        self.tap = None         # told of each message where figures are sent
         self.controller = Controller(provisioning, seed)
 
     def begin(self) -> None:
@@ -50,7 +50,7 @@
             messages = [(proxy, parts, lines.config(parts, self.listing.names, self.names))
                         for proxy, parts in self.sent.messages()]
         except Exception:
-            logger.exception("the module failed in a round with {}", [name for name, _ in news][:20])
+            events.MODULE_FAILED.raised(calls=str([name for name, _ in news][:20]))
             self._start_over()
             return None
         written = 0
@@ -61,6 +61,8 @@
             self.counters["lines_sent"] += count
             self.counters["bytes_sent"] += len(message)
             write(proxy, message, ticket)
+            if self.tap is not None:
+                self.tap.sent(proxy, parts, ticket)
         charged = channel.waiting - before
         self.counters["lines_charged"] += charged
         self.counters["lines_written"] += written
--- a/ravenshelf/process/run.py
+++ b/ravenshelf/process/run.py
@@ -3,21 +3,23 @@
 from typing import Callable
 
 import uvloop
-from loguru import logger
 
+from ravenshelf import events
 from ravenshelf.process import logs
 from ravenshelf.process.clock import Clock
 from ravenshelf.process.pilot import serve
 
 
-def run(configuration: dict, again: Callable[[], dict], level: str, counters_every: float) -> int:
-    sink = logs.start(level)
+def run(configuration: dict, again: Callable[[], dict], level: str, counters_every: float, operator=None,
+        operator_again: Callable | None = None) -> int:
+    """`operator` holds the operator file's tables, where one is named; `..._again` read their file anew."""
+    sink = logs.start(level, operator.log.format if operator is not None else "text")
     gc.freeze()     # what start has made stays; collections need not look at it again
     try:
-        uvloop.run(serve(configuration, again, Clock(), round(counters_every * 1e6)))
+        uvloop.run(serve(configuration, again, Clock(), round(counters_every * 1e6), operator, operator_again, sink))
         code = 0
     except Exception:
-        logger.exception("the pilot can't go on")
+        events.CANT_GO_ON.raised()
         code = 1
     sink.finish(0.3)
     return code
--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -27,6 +27,7 @@
 UNLIMITED, NEEDED, JOINING, WITHDRAWAL = 1e6, 2, 3, 4   # a level; urgency of tables after a drain or start
 PART_ENDPOINTS, PART_PROXIES = 3, 6         # least of a zone's endpoints, and of its proxies, to a table
 LUKEWARM, FAILING = 0.5, 0.6                # a colder one has no line where the zone's middle is worse
+NOTICED_SPAN, CROWDED, CROWDED_MOST = 20 * SECOND, 0.2, 0.5     # of machines: memory; excess; most loss
 SLACK, BLIND = 0.2, 0.25                    # of a part, over its due; of a cold share, while no flow is known
 
 
@@ -52,6 +53,7 @@
     def __init__(self, index, start):
         self.index, self.zone, self.kind, self.state = index, 0, 0, "unknown"
         self.weight, self.start, self.benched, self.order = 1.0, start, False, None
+        self.noticed = Decaying(NOTICED_SPAN, 2)    # readings of its machine, busy share
         self.forget()
 
     def forget(self):
@@ -348,6 +350,13 @@
         if (p := self.proxies.get(proxy)) is not None and group < len(p.flows):
             p.flows[group].add(self.now, max(flows, 0), window / SECOND)
 
+    def noticed(self, index, busy, age):
+        """How busy an endpoint's machine was, as told beside its sums; the older, the less it counts."""
+        if (e := self.endpoints.get(index)) is not None and 0 <= busy <= 1:
+            part = exp(-max(0, age) / NOTICED_SPAN)
+            e.noticed.sums = [x * (1 - 0.7 * part) for x in e.noticed.read(self.now)]   # the newest tells most
+            e.noticed.add(self.now, part, part * busy)
+
     def applied(self, proxy, mark, took):
         self.channel.applied(mark, took)
 
@@ -363,6 +372,14 @@
         span = min(RAMP, self.rules.get("warm_after_us") or RAMP)     # by then it is promised to be warm
         return min(1.0, cold + (1 - cold) * max(0, self.now - e.start) / span)
 
+    def crowding(self, z):
+        """Endpoint -> what a machine busier than its zone's middle leaves of its weight; half at least."""
+        sums = [(e, *e.noticed.read(self.now)) for e in self.usable() if e.zone == z]
+        told = {e: (n, b / n) for e, n, b in sums if n > 0.05}
+        usual = median([b for _, b in told.values()])
+        return {e: 1 - CROWDED_MOST * min(1.0, n) * min(1.0, max(0.0, b - usual - CROWDED) / CROWDED)
+                for e, (n, b) in told.items()} if len(told) > 2 else {}
+
     def open(self, e):
         """Whether tables may hold it; where removal does not bind, only draining shuts an endpoint out."""
         kept = self.rules.get("removal_not_binding", False) and e.state == "gone" and not e.benched
@@ -381,6 +398,8 @@
             took, middle = mean.get(e) or kin.get(e.kind), usual[e.zone]
             pace = middle / took if took and middle else 1.0
             known[e] = e.fade(self.now) * min(PACE_MOST, max(PACE_LEAST, pace))
+        for e, part in [x for z in range(self.zones) for x in self.crowding(z).items()]:
+            known[e] *= part
         warm = [[v for e, v in known.items() if e.zone == z and self.ramp(e) == 1] for z in range(self.zones)]
         for e, v in known.items():      # one of which little was heard is not the best of a failing zone
             ramp, most = self.ramp(e), median(warm[e.zone], v)      # proxies that shun the rest would fell it
--- /dev/null
+++ b/ravenshelf/store/__init__.py
@@ -0,0 +1,1 @@
+"""What survives a crash: append-only segments with checksums."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """The one file of helpers: a writer that keeps what the orders amount to, and a pilot that is driven by hand."""
 import pytest
+from hypothesis import settings as hypothesis_settings
 
 from ravenshelf.memory.buffers import Buffers
 from ravenshelf.memory.counters import Counters
@@ -11,6 +12,9 @@
 from ravenshelf.provisioning import provisioning
 from ravenshelf.rules import SECOND, Controller
 
+hypothesis_settings.register_profile("ci", derandomize=True, database=None)     # the same verdict every time
+hypothesis_settings.load_profile("ci")
+
 GROUPS = [
     {"name": "look", "utility": 1.0, "effect": "retriable", "latency_budget_us": 1_200_000, "expiry_us": 3_000_000},
     {"name": "pay", "utility": 5.0, "effect": "non-retriable", "latency_budget_us": 1_000_000, "expiry_us": 4_000_000},
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -414,3 +414,53 @@
     assert p.load(2) + p.load(3) > 0.4                  # its flows go where no failure was heard of
     at = p.controller.curves[0].buckets
     assert sum(d.read(p.now)[1] for d in at.values()) < 0.5 * sum(d.read(p.now)[0] for d in at.values())
+
+
+# --- the signal from beside ---
+
+def four(pilot):
+    """All four endpoints in one zone, so that there is a middle."""
+    entries = tuple((i, 0, 0, 0, "ready", 4.0, 0) for i in range(4))
+    made = pilot(proxies=2)
+    made.hear(("listed", ("replace", entries)))
+    made.run(10, lambda s: [met(0, e) for e in range(4)])
+    return made
+
+
+def test_a_machine_busier_than_its_zones_middle_costs_weight_within_bounds(pilot):
+    made = four(pilot)
+    before = made.load(0)
+    made.run(10, lambda s: [("noticed", (e, 0.95 if e == 0 else 0.3, 0)) for e in range(4)] + [met(0, e) for e in range(4)])
+    after = made.load(0)
+    assert 0.45 * before < after < 0.75 * before
+    made.run(120, lambda s: [("noticed", (e, 1.0 if e == 0 else 0.0, 0)) for e in range(4)] + [met(0, e) for e in range(4)])
+    assert made.load(0) > 0.45 * before     # a host that lies for ever does not shut it out
+    made.run(60, lambda s: [met(0, e) for e in range(4)])
+    assert made.load(0) == pytest.approx(before, rel=0.15)    # silence proves nothing: it fades, but for small moves
+
+
+@pytest.mark.parametrize("told", [[0], [0, 1], []])
+def test_a_signal_of_too_few_changes_nothing(pilot, told):
+    made = four(pilot)
+    before = made.load(0)
+    made.run(10, lambda s: [("noticed", (e, 1.0 if e == 0 else 0.0, 0)) for e in told] + [met(0, e) for e in range(4)])
+    assert made.load(0) == pytest.approx(before, rel=0.02)
+
+
+@pytest.mark.parametrize("busy, age", [(-1.0, 0), (1.5, 0), (float("nan"), 0), (1.0, 120 * SECOND)])
+def test_what_is_out_of_range_or_old_changes_nothing(pilot, busy, age):
+    made = four(pilot)
+    before = made.load(0)
+    made.run(10, lambda s: [("noticed", (e, busy if e == 0 else 0.3, age)) for e in range(4)] + [("noticed", (99, 1.0, 0))]
+             + [met(0, e) for e in range(4)])
+    assert made.load(0) == pytest.approx(before, rel=0.02)
+
+
+def test_an_idle_machine_is_no_proof_of_health(pilot):
+    loads = []
+    for told in (0, 4):
+        made = four(pilot)
+        made.run(10, lambda s: [("noticed", (e, 0.0 if e == 0 else 0.5, 0)) for e in range(told)]
+                 + [met(0, e, dropped=20 if e == 0 else 0) for e in range(4)])
+        loads.append(made.load(0))
+    assert loads[0] < 0.1 and loads[1] == pytest.approx(loads[0], rel=0.01)
