--- a/ravenshelf/events.py
+++ b/ravenshelf/events.py
@@ -127,6 +127,39 @@
                    "Its values are taken by their corrected times.", host="name", ahead="s, below 0 where it is behind")
 
 
+# --- several controllers ---
+
+CONTROLLER_STARTS = event("leadership.starts", "INFO", "controller {name} of {members}, incarnation {incarnation}: {state}",
+                          "It meets the others and, once its votes count, takes its part.", name="its name",
+                          incarnation="starts since its disk was empty", members="count",
+                          state="votes, or recovers (an empty disk: reads a majority of the others first)")
+MEMBER_MET = event("leadership.met", "INFO", "met {name}, incarnation {incarnation}", "A connection is open.",
+                   name="controller", incarnation="starts")
+MEMBER_LOST = event("leadership.member_lost", "WARNING", "lost {name}: {end}",
+                    "Its shards go to others once their leases have lapsed.", name="controller",
+                    end="how the connection ended")
+MEMBER_REFUSED = event("leadership.refused", "WARNING", "{peer} is refused: {why}",
+                       "Another cluster, version, name, certificate or older incarnation.", peer="address or name",
+                       why="what was expected")
+SHARD_TAKEN = event("leadership.taken", "INFO", "shard {shard} is ours in term {term}",
+                    "A majority has granted its lease and has its record; its proxies are bound.", shard="number",
+                    term="number")
+SHARD_LAPSED = event("leadership.lapsed", "WARNING", "the lease of shard {shard} in term {term} has lapsed",
+                     "No order that allows anything new leaves any more.", shard="number", term="number")
+SHARD_LOST = event("leadership.given", "INFO", "shard {shard} is ours no more, term {term}",
+                   "Given away, or another has it.", shard="number", term="number")
+MAJORITY_LOST = event("leadership.alone", "ERROR", "no majority is heard; {shards} shards are kept bound as they are known",
+                      "No new try, no lifted refusal, until a majority is back.", shards="count")
+MAJORITY_BACK = event("leadership.together", "INFO", "a majority is heard again; {shards} shards are ours",
+                      "What was kept is asked for anew.", shards="count")
+STORE_FAILED = event("store.failed", "ERROR", "the store has failed: {why}",
+                     "The controller ends: what it can't keep it must not promise.", why="the system's words")
+CERTIFICATES_REFUSED = event("leadership.certificates_refused", "WARNING", "the new certificates are not taken: {why}",
+                             "Those read before hold.", why="the system's words")
+WAITS_FOR_RESTART = event("operator.waits", "WARNING", "[{table}] has changed and waits for a restart",
+                          "All else was taken.", table="table of the operator file")
+
+
 def markdown() -> list[str]:
     """The catalogue as rows of a table, for the operators' page."""
     out = ["| event | level | meaning | fields |", "| --- | --- | --- | --- |"]
--- a/ravenshelf/graphite/figures.py
+++ b/ravenshelf/graphite/figures.py
@@ -88,6 +88,11 @@
 PACKETS = figure("collectd.packets_per_s", "packets/s", DETAIL, "pilot", "collectd packets that were taken")
 REFUSED = figure("collectd.refused_per_s", "packets/s", DETAIL, "pilot", "collectd packets that were refused")
 VALUES = figure("collectd.values_per_s", "values/s", DETAIL, "pilot", "collectd values that were used")
+SHARDS = figure("leadership.shards", "count", ESSENTIAL, "leadership", "shards that this controller owns")
+MET = figure("leadership.members", "count", ESSENTIAL, "leadership", "controllers that are met, this one too")
+HELD = figure("leadership.held_orders", "count", USEFUL, "leadership", "orders that wait for the record or a lease")
+RECORDS = figure("leadership.records_per_s", "records/s", USEFUL, "leadership", "records put before the voters")
+COMMITS = figure("store.commits_per_s", "commits/s", DETAIL, "store", "writes to disk with a sync")
 ENDPOINT_TRIES = figure("endpoint.{endpoint}.tries_per_s", "tries/s", DETAIL, "LOAD", "tries at the endpoint", WINDOWED)
 ENDPOINT_FADE = figure("endpoint.{endpoint}.health", "share", DETAIL, "decisions", "belief that a try comes to something",
                        "as zone health")
--- /dev/null
+++ b/ravenshelf/leadership/__init__.py
@@ -0,0 +1,1 @@
+"""Several controllers share one fleet, divide it and take over from each other."""
--- /dev/null
+++ b/ravenshelf/leadership/adapter.py
@@ -0,0 +1,178 @@
+"""Between the pilot and its leadership: the decisions see only proxies of owned shards, and no order leaves without
+its right. The judging is `ShardGate`'s, `Inherited`'s and `Member`'s; here their answers meet the streams."""
+from typing import Callable, Iterable
+
+from ravenshelf.leadership.decisions import GRANTING, KEEPING, Member
+from ravenshelf.leadership.dividing import shard_of
+from ravenshelf.leadership.gate import Needs, ShardGate
+from ravenshelf.leadership.inheritance import Inherited
+from ravenshelf.leadership.record import Record, Unreadable
+from ravenshelf.memory.counters import Counters
+from ravenshelf.memory.sent import Part
+
+
+class Owned:
+    """A shard that is ours: its gate, and what came with it."""
+
+    def __init__(self, term: int, record: Record, now: int, version: int):
+        self.term, self.gate, self.inherited = term, ShardGate(record), Inherited(now, record.copy(), version)
+
+
+class Adapter:
+    """`news` tells the pilot's rounds, `write(proxy, message, mark)` its streams; `names` gives an endpoint's name and
+    `version` the list's. `put(shard, record)` gives a record to the voters: its number, or None."""
+
+    def __init__(self, member: Member, clock: Callable[[], int], groups: list[str], counters: Counters, *,
+                 news: Callable[[str, tuple], None], write: Callable[[int, bytes, int | None, int], None],
+                 put: Callable[[int, bytes], int | None], names: Callable[[int], str], version: Callable[[], int],
+                 index: Callable[[str], int | None], ramps: Callable[[], dict[str, int]],
+                 warm: Callable[[dict[str, int]], None]):
+        self.member, self.clock, self.groups, self.counters = member, clock, groups, counters
+        self.news, self.write, self.put, self.names = news, write, put, names
+        self.version, self.index, self.ramps, self.warm = version, index, ramps, warm
+        self.shards = member.ways.shards
+        self.present: dict[int, tuple] = {}         # every proxy with a stream here
+        self.bound: set[int] = set()                # those that the decisions know
+        self.owned: dict[int, Owned] = {}
+
+    # --- news on their way to the decisions ---
+
+    def heard(self, name: str, values: tuple) -> bool:
+        """Whether the decisions are to hear it now."""
+        if name == "joined":
+            self.present[values[0]] = values
+            if shard_of(values[0], self.shards) in self.owned:
+                self.bound.add(values[0])
+                return True
+            return False
+        if name == "left":
+            self.present.pop(values[0], None)
+            self.bound.discard(values[0])
+            return True
+        if name == "listed":
+            ready = [self.names(entry[0]) for entry in values[1] if entry[4] == "ready"]
+            for shard, owned in self.owned.items():
+                owned.inherited.listed(self.version(), ready)
+                if owned.gate.returned(e for e in ready if not owned.inherited.drained(e)):
+                    self._grow(shard, owned)
+        return True
+
+    # --- shards come and go ---
+
+    def took(self, shard: int, term: int, packed: bytes | None) -> None:
+        """The lease is ours and the record with a majority: its proxies are bound, whatever they hold."""
+        try:
+            record = Record.unpack(packed)
+        except Unreadable:
+            self.counters["records_unreadable"] += 1
+            record = Record()
+        if shard in self.owned:     # ours all the time, now in a later term: what waits goes out under that
+            self.owned[shard].term = term
+            if self.owned[shard].gate.renew(record):
+                self._grow(shard, self.owned[shard])
+            return self.release(shard)
+        self.owned[shard] = Owned(term, record, self.clock(), self.version())
+        self.warm(self.owned[shard].inherited.starts())
+        for proxy, values in list(self.present.items()):
+            if shard_of(proxy, self.shards) == shard and proxy not in self.bound:
+                self.bound.add(proxy)
+                self.news("joined", (*values[:3], False))
+
+    def lost(self, shard: int) -> None:
+        if self.owned.pop(shard, None) is None:
+            return
+        for proxy in [p for p in self.bound if shard_of(p, self.shards) == shard]:
+            self.bound.discard(proxy)
+            self.news("left", (proxy,))
+
+    # --- orders on their way out ---
+
+    def shape(self, proxy: int, parts: list[Part]) -> None:
+        """What the decisions do not know yet: drains that a later list than ours began, and what was refused."""
+        owned = self.owned.get(shard_of(proxy, self.shards))
+        if owned is None or owned.inherited.over(self.clock()):
+            return
+        now, inherited = self.clock(), owned.inherited
+        drained = {i for i in map(self.index, inherited.drains) if i is not None}
+        for part in parts:
+            if drained:
+                part.back = [e for e in part.back if e not in drained]
+                part.out = part.out + [e for e, w in part.lines if w and e in drained and e not in part.out]
+            groups = [self.groups[g] for g in part.groups] or self.groups
+            if part.level is not None:
+                level = min(inherited.level(now, g, part.level[0]) for g in groups)
+                part.level = (level, part.level[1])
+        for part in [p for p in parts if p.whole and p.level is None]:      # a whole table forgets levels
+            for g in part.groups or range(len(self.groups)):
+                had = inherited.record.levels.get(self.groups[g])
+                level = inherited.level(now, self.groups[g], float("inf"))
+                if had is not None and level < float("inf"):
+                    parts.append(Part((g,), level=(level, min(had[1], 1))))
+
+    def offer(self, proxy: int, parts: list[Part], message: bytes, mark: int | None) -> None:
+        """Takes an order in; it leaves when and if it may."""
+        shard = shard_of(proxy, self.shards)
+        owned = self.owned.get(shard)
+        if owned is None:
+            self.counters["orders_of_others"] += 1
+            return
+        needs = Needs()
+        for part in parts:
+            if part.level is not None:
+                for g in part.groups or range(len(self.groups)):
+                    needs.levels.append((self.groups[g], *part.level))
+            needs.drains += [(self.names(e), self.version()) for e in part.out
+                             if not owned.inherited.drained(self.names(e))]
+        if owned.gate.offer(proxy, (message, mark), needs):
+            self._grow(shard, owned)
+        self.release(shard)
+
+    def _grow(self, shard: int, owned: Owned) -> None:
+        record = owned.gate.grow(self.ramps())
+        seq = self.put(shard, record.pack())
+        if seq is not None:
+            self.counters["records_written"] += 1
+            owned.gate.wrote(record, seq)
+
+    def release(self, shard: int) -> None:
+        """Lets go what the record allows now; each is asked for its right after it was formatted, just before it goes."""
+        owned = self.owned.get(shard)
+        if owned is None:
+            return
+        claim, now = self.member.claims[shard], self.clock()
+        if claim.term != owned.term:
+            return
+
+        def may(held) -> bool:
+            right = self.member.may_order(now, shard, held.seq)
+            return right == GRANTING or (right == KEEPING and held.needs.met_by(owned.gate.record))
+
+        for held in owned.gate.leave(claim.safe, may):
+            message, mark = held.message
+            if self.member.may_order(self.clock(), shard, held.seq) is None:
+                self.counters["orders_without_right"] += 1      # stood still since it was looked at
+                owned.gate.crowded.add(held.proxy)
+                continue
+            self.counters["orders_fenced"] += 1
+            self.write(held.proxy, message, mark, owned.term)
+        if not owned.gate.crowded or self.member.may_order(self.clock(), shard) is None:
+            return
+        for proxy in list(owned.gate.crowded):
+            owned.gate.crowded.discard(proxy)
+            owned.gate.waiting.pop(proxy, None)
+            if proxy in self.bound:     # the decisions believe in an order that never left: it is bound anew
+                self.news("left", (proxy,))
+                self.news("joined", (*self.present[proxy][:3], False))
+
+    def released(self) -> None:
+        for shard in list(self.owned):
+            self.release(shard)
+
+    def proxies(self, shards: Iterable[int]) -> int:
+        wanted = set(shards)
+        return sum(shard_of(p, self.shards) in wanted for p in self.present)
+
+
+def fenced(message: bytes, term: int) -> bytes:
+    """The order with its term, by which a proxy refuses whatever comes of an older one."""
+    return b"CONFIG term=%d" % term + message.removeprefix(b"CONFIG")
--- a/ravenshelf/net/accepted.py
+++ b/ravenshelf/net/accepted.py
@@ -23,6 +23,7 @@
         self.slot: int | None = None
         self.purpose, self.proxy, self.zone, self.peer = STRANGER, None, None, ""
         self.tickets: dict[int, int] = {}       # marks written on this stream and not yet answered, and when
+        self.fences = False         # a proxy that takes orders with terms
         self.followed = False       # a newer connection has taken its place
         self.since = 0              # when it connected
 
--- a/ravenshelf/operating/reading.py
+++ b/ravenshelf/operating/reading.py
@@ -80,11 +80,35 @@
     if collectd.security != "none" and not collectd.users:
         wrong.append(f"{file}: [collectd] users: found nothing, expected a file, since security is "
                      f'"{collectd.security}"')
+    _leadership(file, operator, wrong)
     if background.turn_ms > background.a_second_ms:
         wrong.append(f"{file}: [background] turn_ms: found {background.turn_ms:g}, expected at most a_second_ms "
                      f"({background.a_second_ms:g})")
 
 
+def _leadership(file: str, operator: Operator, wrong: list[str]) -> None:
+    table = operator.leadership
+    if not table.name:
+        return
+    if table.name not in table.members:
+        wrong.append(f"{file}: [leadership] name: found {_shown(table.name)}, expected one of members: "
+                     f"{', '.join(sorted(table.members))}")
+    for name, place in table.members.items():
+        if not _address(place):
+            wrong.append(f"{file}: [leadership] members.{name}: found {_shown(place)}, expected host:port")
+    if len(table.members) > 64 or len(set(table.members.values())) < len(table.members):
+        wrong.append(f"{file}: [leadership] members: found {_shown(table.members)}, expected up to 64, each at an address "
+                     "of its own")
+    if not table.cluster:
+        wrong.append(f"{file}: [leadership] cluster: found nothing, expected a name that all members share")
+    if not operator.store.folder:
+        wrong.append(f"{file}: [store] folder: found nothing, expected a folder, since [leadership] is on")
+    given = [key for key in ("certificate", "key", "authority") if getattr(table, key)]
+    if given and len(given) < 3:
+        wrong.append(f"{file}: [leadership]: found {', '.join(given)} alone, expected certificate, key and authority "
+                     "together")
+
+
 def check(said: dict, file: str) -> Operator:
     """The tables of what a TOML file says, or Wrong."""
     wrong, known, taken = [], tables(), {}
@@ -123,7 +147,8 @@
     """The files that it names are read as a start would read them."""
     wrong = []
     for name, on, modules in (("graphite", operator.graphite.receivers, ("hdrh", "xxhash")),
-                              ("collectd", operator.collectd.listen, ("cryptography", "xxhash"))):
+                              ("collectd", operator.collectd.listen, ("cryptography", "xxhash")),
+                              ("leadership", operator.leadership.name, ("xxhash",))):
         lacks = [module for module in modules if on and importlib.util.find_spec(module) is None]
         if lacks:
             wrong.append(f"{file}: [{name}]: found no {', '.join(lacks)}, expected the extra {name} to be installed")
--- a/ravenshelf/operating/tables.py
+++ b/ravenshelf/operating/tables.py
@@ -48,9 +48,31 @@
     types: said(str, "the path of a types.db") = ""
 
 
+class Leadership(Struct, forbid_unknown_fields=True, frozen=True):
+    """Several controllers on one fleet; off without a name. What changes here waits for a restart, but for the
+    certificates' files, which SIGHUP reads again."""
+    name: said(str, "one of members, or \"\" for off") = ""
+    cluster: said(str, "a name that all members share") = ""
+    members: said(dict[str, str], 'a table of name = "host:port", the same at all members') = field(default_factory=dict)
+    shards: said(int, "a whole number from 1 to 4096, the same at all members", ge=1, le=4096) = 64
+    lease_ms: said(float, "a number from 200 to 60000, the same at all members", ge=200, le=60_000) = 1500.0
+    capacity: said(float, "a number from 0.01 to 1000", ge=0.01, le=1000) = 1.0
+    certificate: said(str, "the path of a PEM file whose common name is this member's") = ""
+    key: said(str, "the path of its key") = ""
+    authority: said(str, "the path of the cluster's own authority") = ""
+    admin: said(str, "the path of a Unix socket") = ""
+
+
+class Store(Struct, forbid_unknown_fields=True, frozen=True):
+    """State that survives a crash."""
+    folder: said(str, "the path of a folder of this pilot's own") = ""
+
+
 class Operator(Struct, forbid_unknown_fields=True, frozen=True):
     """The whole file."""
     log: Log = field(default_factory=Log)
     background: Background = field(default_factory=Background)
     graphite: Graphite = field(default_factory=Graphite)
     collectd: Collectd = field(default_factory=Collectd)
+    leadership: Leadership = field(default_factory=Leadership)
+    store: Store = field(default_factory=Store)
--- a/ravenshelf/process/door.py
+++ b/ravenshelf/process/door.py
@@ -85,6 +85,11 @@
             if name is not None:
                 self.news(name, (connection.proxy,))
 
+    def fences(self, proxy: int) -> bool:
+        """Whether the proxy refuses orders of an older term: it said so when it joined."""
+        stream = self.streams.get(proxy)
+        return stream is not None and stream.fences
+
     def write(self, proxy: int, message: bytes, ticket: int | None) -> None:
         stream = self.streams.get(proxy)
         if stream is not None:
@@ -124,7 +129,7 @@
             self.counters["stale"] += 1     # this stream was followed by a newer one
             return
         self.streams[proxy] = connection
-        connection.proxy, connection.tickets = proxy, {}
+        connection.proxy, connection.tickets, connection.fences = proxy, {}, said.get("term") == "1"
         self._known(connection, STREAM)
         if old is not None and old is not connection:
             self._followed(old)         # its end, late as it may come, changes nothing any more
--- a/ravenshelf/process/operations.py
+++ b/ravenshelf/process/operations.py
@@ -34,10 +34,12 @@
         self.background = Background(self._agenda(operator.background), pilot.clock,
                                      lambda at: pilot.set_deadline(("background",), at), pilot.round_due,
                                      pilot.counters)
-        self.graphite = self.gatherer = self.listener = None
+        self.graphite = self.gatherer = self.listener = self.leadership = None
         self.places: tuple[int, dict] = (-1, {})        # the list's version, endpoints by host
         self.before: dict[str, float] = {}
         self.users_seen: float = 0.0
+        if operator.leadership.name:
+            self._lead()        # before anyone is accepted: what joins is owned or not from the first
 
     @staticmethod
     def _agenda(table) -> Agenda:
@@ -45,11 +47,49 @@
                       round(table.ageing_s * SECOND))
 
     async def start(self) -> None:
+        if self.leadership is not None:
+            await self.leadership.start()
         if self.operator.graphite.receivers:
             self._start_graphite()
         if self.operator.collectd.listen:
             await self._start_collectd()
 
+    # --- other controllers ---
+
+    def _lead(self) -> None:
+        from ravenshelf.leadership.adapter import Adapter, fenced
+        from ravenshelf.leadership.service import Leadership, clock
+        pilot, table = self.pilot, self.operator.leadership
+
+        def ended(why: str) -> None:
+            pilot.ended_by = why
+            pilot.stop()
+
+        def write(proxy: int, message: bytes, mark: int | None, term: int) -> None:
+            pilot.door.write(proxy, fenced(message, term) if pilot.door.fences(proxy) else message, mark)
+
+        self.leadership = Leadership(table, self.operator.store.folder, pilot.loop, self.counters, self.chance, ended)
+        self.leadership.adapter = pilot.gate = pilot.rounds.gate = Adapter(
+            self.leadership.member, clock, pilot.rounds.names, self.counters, news=pilot.tell, write=write,
+            put=self.leadership.put, names=lambda n: pilot.listing.names[n], version=lambda: pilot.listing.rev,
+            index=pilot.listing.index.get, ramps=self._ramps, warm=self._warm)
+
+    def _ramps(self) -> dict[str, int]:
+        """Endpoints that have started of late, with their starts."""
+        since = self.clock() - 60 * SECOND
+        return {self.pilot.listing.names[index]: entry[6] for index, entry in self.pilot.listing.entries.items()
+                if entry[6] > since}
+
+    def _warm(self, starts: dict[str, int]) -> None:
+        """Tells the decisions of starts that another controller knew and our list does not."""
+        listing, news = self.pilot.listing, []
+        for name, start in starts.items():
+            entry = listing.entries.get(listing.index.get(name))
+            if entry is not None and entry[6] < start:
+                news.append((*entry[:6], start))
+        if news:
+            self.pilot.tell("listed", ("update", tuple(news)))
+
     # --- Graphite ---
 
     def _start_graphite(self) -> None:
@@ -96,6 +136,12 @@
         sums = {figures.ROUNDS.path: self.counters["rounds"], figures.MESSAGES.path: self.counters["messages_sent"],
                 figures.LINES.path: self.counters["lines_sent"], figures.CPU.path: usage.ru_utime + usage.ru_stime,
                 figures.BACKGROUND_PART.path: self.counters["background_us"] / 1e6}
+        if self.leadership is not None:
+            lead = self.leadership
+            counts |= {figures.SHARDS.path: len(lead.member.owned()), figures.MET.path: 1 + len(lead.links),
+                       figures.HELD.path: sum(len(owned.gate) for owned in lead.adapter.owned.values())}
+            sums |= {figures.COMMITS.path: lead.committer.batches,
+                     figures.RECORDS.path: self.counters["records_written"]}
         if self.listener is not None:
             sums |= {figures.PACKETS.path: self.counters["collectd_packets"],
                      figures.REFUSED.path: self.counters["collectd_refused"],
@@ -189,6 +235,13 @@
             self.pilot.loop.create_task(self._renew_collectd(old.collectd))
         elif operator.collectd.users and self.listener is not None:
             self._look_at_users(self.clock())
+        if self.leadership is not None:
+            try:        # certificates may have been renewed under the same names
+                self.leadership.read_certificates()
+            except OSError as why:
+                events.CERTIFICATES_REFUSED(why=str(why))
+            for name in {"leadership", "store"} & set(names):
+                events.WAITS_FOR_RESTART(table=name)
         done(", ".join(f"[{name}]" for name in names) or "nothing changed")
 
     def _renew_graphite(self, old, new) -> None:
@@ -223,6 +276,8 @@
             self.listener.signals.machines = was.signals.machines
 
     def close(self) -> None:
+        if self.leadership is not None:
+            self.leadership.close()
         if self.graphite is not None:
             self.graphite.close()
         if self.listener is not None:
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -69,8 +69,10 @@
         self.reads = 0      # left for a configuration that could not be used
         self.operations = None      # what an operator file turns on
         self.operator_again: Callable | None = None
+        self.ended_by: str | None = None    # what it can't go on without
         self.log = None             # the log's sink, whose form a new operator file may change
         self.tap = None             # hears all that the module hears, where figures are sent
+        self.gate = None            # keeps from it what is other controllers', where several share the fleet
         self.ready, self.last_round, self.round_at, self.stopped = False, 0, 0, loop.create_future()
 
     # --- deadlines and rounds ---
@@ -135,6 +137,10 @@
         return at is not None and at[0] <= self.clock()
 
     def news(self, name: str, values: tuple) -> None:
+        if self.gate is None or self.gate.heard(name, values):
+            self.tell(name, values)
+
+    def tell(self, name: str, values: tuple) -> None:
         self.rounds.hear(name, values)
         if self.tap is not None:
             self.tap.heard(name, values, self.clock())
@@ -304,13 +310,16 @@
     loop.add_signal_handler(signal.SIGINT, pilot.stop)
     loop.add_signal_handler(signal.SIGUSR1, pilot.count)
     loop.add_signal_handler(signal.SIGHUP, pilot.reload)
-    await pilot.start()
     if operator is not None:
         from ravenshelf.process.operations import Operations
         pilot.operations, pilot.operator_again, pilot.log = Operations(operator, pilot, random.Random()), operator_again, log
+    await pilot.start()
+    if pilot.operations is not None:
         await pilot.operations.start()
     host, port = pilot.server.sockets[0].getsockname()[:2]
     events.SERVES(name=configuration.get("name"), address=f"{host}:{port}")
     await pilot.stopped
     pilot.count()
     await asyncio.sleep(0)
+    if pilot.ended_by is not None:
+        raise RuntimeError(pilot.ended_by)
--- a/ravenshelf/process/rounds.py
+++ b/ravenshelf/process/rounds.py
@@ -19,6 +19,7 @@
         self.news: list[tuple[str, tuple]] = []
         self.failures = 0
         self.tap = None         # told of each message where figures are sent
+        self.gate = None        # judges what may leave, where several controllers share the fleet
         self.controller = Controller(provisioning, seed)
 
     def begin(self) -> None:
@@ -47,8 +48,10 @@
             self._settle(channel)
             self.controller.round(now, news, self.sent)
             calls, wakes, ticket = self.sent.calls, self.sent.wakes, self.sent.ticket
-            messages = [(proxy, parts, lines.config(parts, self.listing.names, self.names))
-                        for proxy, parts in self.sent.messages()]
+            ordered = self.sent.messages()
+            for proxy, parts in ordered if self.gate is not None else ():
+                self.gate.shape(proxy, parts)
+            messages = [(proxy, parts, lines.config(parts, self.listing.names, self.names)) for proxy, parts in ordered]
         except Exception:
             events.MODULE_FAILED.raised(calls=str([name for name, _ in news][:20]))
             self._start_over()
@@ -60,7 +63,10 @@
             self.counters["messages_sent"] += 1
             self.counters["lines_sent"] += count
             self.counters["bytes_sent"] += len(message)
-            write(proxy, message, ticket)
+            if self.gate is None:
+                write(proxy, message, ticket)
+            else:
+                self.gate.offer(proxy, parts, message, ticket)
             if self.tap is not None:
                 self.tap.sent(proxy, parts, ticket)
         charged = channel.waiting - before
--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -1,5 +1,4 @@
 """Every decision of ravenshelf: which proxy holds which lines, what it lets in and when it tries again.
-
 Called as `Controller(provisioning, seed)`, then once a batch as `Controller.round(now, news, orders)`: `news`
 is a list of (call name, values), decisions go into `orders`; both are described in `interface.py`.
 In this order: measures, the list, channel, curves, `solve_spill`, the controller. Times are microseconds.
@@ -14,8 +13,7 @@
 TARGET, QUANTUM, GAP_MOVES = 0.05, 0.01, 1000    # of misses; of demand; what a gap must move to count
 BOUND_TIMES, BOUND_HEARD = 3, 10 * SECOND   # the bound of a miss: times the median of the first while
 RAMP, RETURN = 30 * SECOND, 10 * SECOND     # of a new endpoint; within which a zone that was lost returns
-BUCKET, CURVE_SPAN = 0.12, 25 * SECOND      # of a curve: width, in the logarithm of demand per weight; memory
-POOLED, STEEP = 0.15, 0.6                   # others' points in a curve; rise beyond them, per doubling
+BUCKET, CURVE_SPAN, POOLED, STEEP = 0.12, 25 * SECOND, 0.15, 0.6     # of a curve: width; memory; others; rise
 MARGIN = 1.2                                # demand may rise by so much before the next tables are in force
 HEALTH_SPAN, HEALTH_PRIOR, FADED = 6 * SECOND, 3.0, 0.02
 PACE_SPAN, PACE_LEAST, PACE_MOST = 12 * SECOND, 0.1, 2.0
@@ -28,12 +26,12 @@
 PART_ENDPOINTS, PART_PROXIES = 3, 6         # least of a zone's endpoints, and of its proxies, to a table
 LUKEWARM, FAILING = 0.5, 0.6                # a colder one has no line where the zone's middle is worse
 NOTICED_SPAN, CROWDED, CROWDED_MOST = 20 * SECOND, 0.2, 0.5     # of machines: memory; excess; most loss
+UNHEARD = 20 * SECOND                       # until a message that nobody answers for has passed
 SLACK, BLIND = 0.2, 0.25                    # of a part, over its due; of a cold share, while no flow is known
 
 
 class Decaying:
     """A few sums that fade with time, brought up to date when they are read."""
-
     def __init__(self, span, size):
         self.span, self.at, self.sums = span, 0, [0.0] * size
 
@@ -49,7 +47,6 @@
 
 class Endpoint:
     """What is listed of an endpoint and what was heard of it."""
-
     def __init__(self, index, start):
         self.index, self.zone, self.kind, self.state = index, 0, 0, "unknown"
         self.weight, self.start, self.benched, self.order = 1.0, start, False, None
@@ -82,21 +79,27 @@
 
 class Channel:
     """Counts lines, heads and messages before they are ordered: a full queue breaks a rule."""
-
     def __init__(self, service):
         self.pace = self.usual = max(1.0, service.get("lines_per_s") or 1e9)
         self.head, self.most = service.get("envelope", 6.0), service.get("most_waiting") or 1e9
         self.messages, self.over = service.get("messages_most", 0), service.get("counted_over_us", 10**7)
         self.late_most = service.get("late_most_us", SECOND)
         self.waiting, self.at, self.sent, self.round, self.marks, self.number = 0.0, 0, {}, {}, {}, 0
+        self.open = deque()     # rounds that may not have passed: number, when, lines by proxy
 
     def drain(self, now):
-        self.waiting = max(0.0, self.waiting - self.pace * (now - self.at) / SECOND)
-        self.at = now
+        # time takes lines out at the believed pace, but none that should be answered for and is not
+        self.waiting, self.at = max(0.0, self.waiting - self.pace * (now - self.at) / SECOND), now
+        while self.open and (self.open[0][1] < now - UNHEARD or not self.open[0][2]):
+            self.open.popleft()
+        self.waiting = max(self.waiting, self.unanswered(now - self.late_most))
+
+    def unanswered(self, before):
+        return sum(total for _, at, _, total in self.open if at <= before)
 
     def room(self, lines, proxies, urgent):
         """Whether so many lines to each of these proxies fit; the ordinary leaves half to the urgent."""
-        heads = len(self.round) + sum(p not in self.round for p in proxies)
+        heads = len(self.round.keys() | set(proxies))
         asked = sum(self.round.values()) + len(proxies) * lines + heads * (self.head + 1)
         if self.waiting + asked > self.most * (0.45, 0.65, 0.65, 0.75, 0.88)[urgent]:   # no join starves
             return False
@@ -118,14 +121,20 @@
             return
         self.number = self.number % 250 + 1
         orders.mark(self.number)
-        for p, lines in self.round.items():
+        for p in self.round:
             self.sent.setdefault(p, deque()).append(now)
-            self.waiting += lines + self.head + 1
-        self.marks[self.number] = self.waiting
+        lines = {p: n + self.head + 1 for p, n in self.round.items()}
+        self.open.append([self.number, now, lines, sum(lines.values())])
+        self.marks[self.number] = self.waiting = self.waiting + self.open[-1][3]
         self.round = {}
 
-    def applied(self, mark, took):
-        """The true pace shows in how long a message took against what lay before it."""
+    def applied(self, proxy, mark, took):
+        """The true pace shows in how long a message took against what lay before it, which has passed too."""
+        if any(number == mark for number, *_ in self.open):
+            while self.open[0][0] != mark:
+                self.open.popleft()
+            self.open[0][3] -= self.open[0][2].pop(proxy, 0)
+            self.waiting = min(self.waiting, self.unanswered(self.at))
         before, spare = self.marks.get(mark, 0.0), took - self.late_most
         if before and spare > 0 and before / spare * SECOND < self.pace:
             self.pace = max(0.05 * self.usual, before / spare * SECOND)
@@ -135,7 +144,6 @@
 
 class Curve:
     """Share of missed tries against a zone's demand per listed weight."""
-
     def __init__(self):
         self.buckets = {}
 
@@ -262,8 +270,7 @@
 
 
 def median(values, default=None):
-    values = sorted(values)
-    return values[len(values) // 2] if values else default
+    return sorted(values)[len(values) // 2] if values else default
 
 
 class Controller:
@@ -275,6 +282,7 @@
         self.zones = max(1, len(provisioning.get("zones", [])))
         self.chance = random.Random(seed)
         self.channel = Channel(self.service)
+        self.applied = self.channel.applied
         self.endpoints, self.proxies, self.lines, self.levels, self.logged = {}, {}, {}, {}, (False, [])
         self.curves = [Curve() for _ in range(self.zones)]
         self.parts, self.current = [0] * self.zones, {}     # (zone, part): the table that proxies are led to
@@ -291,7 +299,6 @@
         self.now = self.next_beat = self.next_step = self.changed = self.carried = self.calm = 0
 
     # --- the news ---
-
     def listed(self, how, entries):
         seen = {entry[0] for entry in entries}
         for index, zone, kind, _, state, weight, start in entries:
@@ -354,16 +361,12 @@
         """How busy an endpoint's machine was, as told beside its sums; the older, the less it counts."""
         if (e := self.endpoints.get(index)) is not None and 0 <= busy <= 1:
             part = exp(-max(0, age) / NOTICED_SPAN)
-            e.noticed.sums = [x * (1 - 0.7 * part) for x in e.noticed.read(self.now)]   # the newest tells most
+            e.noticed.sums = [x * (1 - 0.7 * part) for x in e.noticed.read(self.now)]  # the newest counts
             e.noticed.add(self.now, part, part * busy)
 
-    def applied(self, proxy, mark, took):
-        self.channel.applied(mark, took)
-
     woken = probed = told = granted = stored = slice_asked = lambda *_: None    # these decide nothing
 
     # --- estimates ---
-
     def ramp(self, e):
         """A new endpoint comes in over the ramp, from the share promised, or less where little fells it."""
         if e.start <= 0:
@@ -430,7 +433,6 @@
                 self.gap[i][j] = gap
 
     # --- tables ---
-
     def target(self, proxy):
         return self.current.get((proxy.zone, proxy.part))
 
@@ -438,8 +440,7 @@
         return [i for i, p in self.proxies.items() if p.table == table]
 
     def deal(self):
-        """New proxies go to that table of their zone which has least to carry."""
-        needs = self.needs()
+        needs = self.needs()    # new proxies go to that table of their zone which has least to carry
         for p in sorted((p for p in self.proxies.values() if p.part is None), key=lambda p: -p.usual):
             p.part = min(range(len(needs[p.zone])), key=needs[p.zone].__getitem__)
             needs[p.zone][p.part] += p.usual
@@ -502,7 +503,6 @@
         return True
 
     # --- the list ---
-
     def follow_list(self, orders):
         """Draining or gone is benched at once for every proxy, bound or not; what returns is let in again."""
         for e in [e for e in self.endpoints.values() if self.open(e) == e.benched]:
--- a/ravenshelf/store/segments.py
+++ b/ravenshelf/store/segments.py
@@ -39,6 +39,14 @@
     def close(self, handle: int) -> None:
         os.close(handle)
 
+    def sync_folder(self, folder: Path) -> None:
+        """A new file's name is on disk only once its folder is."""
+        handle = os.open(folder, os.O_RDONLY)
+        try:
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+
     def remove(self, path: Path) -> None:
         path.unlink(missing_ok=True)
 
@@ -112,10 +120,13 @@
 
 class Segments:
     """`append` returns once all is written (and synced, where asked for); what it returned from is there after a
-    kill. A write that fails leaves the segment as it was before."""
+    kill. A write that fails leaves the segment as it was before. `strict`: damage that is no torn tail is refused;
+    `readonly`: nothing is repaired or written."""
 
-    def __init__(self, folder: Path, most: int, segment: int, files: Files | None = None, sync: bool = False):
+    def __init__(self, folder: Path, most: int, segment: int, files: Files | None = None, sync: bool = False,
+                 strict: bool = False, readonly: bool = False):
         self.folder, self.most, self.segment, self.sync = folder, most, segment, sync
+        self.strict, self.readonly = strict, readonly
         self.files = files or Files()
         folder.mkdir(parents=True, exist_ok=True)
         self.skipped: list[Skipped] = []
@@ -126,25 +137,28 @@
         self.writing: int | None = None
         self._recover()
 
-    def _path(self, number: int) -> Path:
+    def path(self, number: int) -> Path:
         return self.folder / f"{number:012}.segment"
 
     def _recover(self) -> None:
         found = sorted(int(p.stem) for p in self.folder.glob("*.segment") if p.stem.isdigit())
         for number in found:
-            data = self.files.read(self._path(number))
-            records, skipped = unpack(data, self._path(number).name, number == found[-1])
+            data = self.files.read(self.path(number))
+            records, skipped = unpack(data, self.path(number).name, number == found[-1])
             self.skipped += skipped
+            for lost in skipped if self.strict else ():
+                if not lost.torn:
+                    raise Damaged(f"{lost.file}: {lost.octets} octets from {lost.offset} on are damaged")
             size = len(data)
-            if skipped and skipped[-1].torn:
+            if skipped and skipped[-1].torn and not self.readonly:
                 size = skipped[-1].offset
-                handle = self.files.open(self._path(number))
+                handle = self.files.open(self.path(number))
                 try:
                     self.files.truncate(handle, size)
                 finally:
                     self.files.close(handle)
             self.sizes[number], self.counts[number] = size, len(records)
-            if not records:
+            if not records and not self.readonly:
                 self.drop(number)
         self.next = found[-1] + 1 if found else 1
 
@@ -155,13 +169,9 @@
         data = b"".join(map(pack, bodies))
         if self.writing is None or self.sizes[self.writing] + len(data) > self.segment:
             self._begin()
-        before, written = self.sizes[self.writing], 0
+        before = self.sizes[self.writing]
         try:
-            while written < len(data):      # a short write is no error: the rest is written again
-                count = self.files.write(self.handle, data[written:])
-                if count <= 0:
-                    raise OSError(5, "nothing was written")
-                written += count
+            self._write(self.handle, data)
             if self.sync:
                 self.files.sync(self.handle)
         except OSError:
@@ -173,17 +183,27 @@
             self.lost += self.counts[number]
             self.drop(number)
 
+    def _write(self, handle: int, data: bytes) -> None:
+        """A short write is no error: the rest is written again."""
+        written = 0
+        while written < len(data):
+            count = self.files.write(handle, data[written:])
+            if count <= 0:
+                raise OSError(5, "nothing was written")
+            written += count
+
     def _begin(self) -> None:
         self.close()
         number, head = self.next, HEAD.pack(MAGIC, VERSION)
-        handle = self.files.open(self._path(number))
+        handle = self.files.open(self.path(number))
         try:
-            if self.files.write(handle, head) != len(head):
-                raise OSError(28, "no room for a segment's head")
+            self._write(handle, head)
         except OSError:
             self.files.close(handle)
-            self.files.remove(self._path(number))
+            self.files.remove(self.path(number))
             raise
+        if self.sync:
+            self.files.sync_folder(self.folder)
         self.handle, self.writing, self.next = handle, number, number + 1
         self.sizes[number], self.counts[number] = len(head), 0
 
@@ -201,14 +221,18 @@
                 continue
             if number == self.writing:
                 self.close()
-            records, _ = unpack(self.files.read(self._path(number)), self._path(number).name, True)
+            records, _ = unpack(self.files.read(self.path(number)), self.path(number).name, True)
             return number, [body for _, body in records]
         return None
 
+    def all(self) -> list[tuple[int, list[tuple[int, bytes]]]]:
+        """Every segment with its records as (offset, body), oldest first."""
+        return [(n, unpack(self.files.read(self.path(n)), self.path(n).name, True)[0]) for n in sorted(self.sizes)]
+
     def drop(self, number: int) -> None:
         if number == self.writing:
             self.close()
-        self.files.remove(self._path(number))
+        self.files.remove(self.path(number))
         self.sizes.pop(number, None)
         self.counts.pop(number, None)
 
--- a/standins/world.py
+++ b/standins/world.py
@@ -34,7 +34,7 @@
             self.watches += 1
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             await self._watch(writer, json.dumps(whole), self.rev)
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -275,6 +275,7 @@
     assert "out=s-1" in p.out[0][1]
     p.run(("listed", ("update", ((0, 0, 0, 0, "ready", 4.0, 0),))))
     p.rounds.controller.channel.waiting = 0.0
+    p.rounds.controller.channel.open.clear()
     p.rounds.controller.round = lambda now, news, orders: orders.mark(5, True)      # charges nothing
     p.run()
     assert p.counters["lines_beyond_charge"] == 1 + 3 == p.rounds.controller.channel.waiting
