--- a/benchmarks/graphite.py
+++ b/benchmarks/graphite.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import random
-import sys
 import tempfile
 import time
 from pathlib import Path
@@ -18,9 +17,9 @@
 from examples.toy import pilot
 from standins import collectd as sender
 from standins.carbon import Carbon, Stall
-from standins.world import Discovery, Proxy, entry
+from standins.world import Discovery, Proxy, configuration, entry
 
-PROXIES, ENDPOINTS, BETWEEN = 20, 40, 0.04
+PROXIES, ENDPOINTS, BETWEEN = 20, 40, 0.014
 AIM_RATIO, AIM_LATE_MS, AIM_GROWTH_MB = 1.05, 20.0, 2.0
 
 
@@ -34,24 +33,29 @@
 
     async def start(self, stack: contextlib.AsyncExitStack, operator: str) -> None:
         self.discovery = await Discovery([entry(f"s-{n}", "north") for n in range(ENDPOINTS)]).start()
-        self.address = await stack.enter_async_context(pilot(self.discovery.address, ["--operator", operator]))
+        said = configuration("", ["north"], PROXIES, **{"lines-per-s": 100_000, "most-waiting": 100_000})
+        self.address = await stack.enter_async_context(pilot(self.discovery.address, ["--operator", operator], said, True))
         self.running = [asyncio.create_task(p.run()) for p in self.proxies]
         while not all(p.lines() for p in self.proxies):
             await asyncio.sleep(0.05)
 
     def heard(self, proxy: Proxy, line: str) -> None:
+        """A drained endpoint is out by a withdrawal, by a line of weight 0, or by a whole table without it."""
         now = time.monotonic()
-        for word in line.split():
-            if word.startswith("out="):
-                for uid in word[4:].split(","):
-                    began = self.awaited.pop((proxy.number, uid), None)
-                    if began is not None:
-                        self.took.append((now - began) * 1000)
+        said = dict(word.partition("=")[::2] for word in line.split()[1:])
+        lines = dict(pair.split(":") for pair in said.get("lines", "").split(",") if pair)
+        gone = {*said.get("out", "").split(","), *(uid for uid, weight in lines.items() if weight == "0")}
+        if "whole" in said:
+            gone |= {uid for number, uid in self.awaited if number == proxy.number and uid not in lines}
+        for uid in gone:
+            began = self.awaited.pop((proxy.number, uid), None)
+            if began is not None:
+                self.took.append((now - began) * 1000)
 
     async def change(self, uid: str) -> None:
-        """Drains an endpoint; every proxy is owed a line. It comes back later, which is not timed."""
+        """Drains an endpoint; every proxy that holds it is owed a line. It comes back later, which is not timed."""
         began = time.monotonic()
-        self.awaited |= {(p.number, uid): began for p in self.proxies}
+        self.awaited |= {(p.number, uid): began for p in self.proxies if uid in p.lines()}
         await self.discovery.change(uid, "DRAINING")
 
 
@@ -73,7 +77,7 @@
             uid = f"s-{n % ENDPOINTS}"
             for side in order:
                 await side.change(uid)
-                await asyncio.sleep(BETWEEN)
+                await asyncio.sleep(BETWEEN * chance.uniform(0.5, 1.5))     # in step with nothing
             for side in order:
                 await side.discovery.change(uid, "SERVING")
             await asyncio.sleep(BETWEEN)
@@ -210,7 +214,7 @@
     background = Background(Agenda(256, 2000, 200_000, 5_000_000), clock, wake, lambda: False, counters)
     table = Table(receivers=[carbon.address], buffer_points=3 * points)
     service = Graphite(table, random.Random(1), loop=loop, clock=clock, background=background,
-                       again=lambda r, at: loop.call_later(max(0, at - clock()) / 1e6, service.turn, r))
+                       again=lambda r, at: loop.call_later(max(0, at - clock()) / 1e6, lambda: service.turn(r)))
 
     def give(n: int):
         def work():
@@ -236,7 +240,7 @@
     figures["held"] = await held(20_000, 8 if short else 30)
     seen = figures["lines"]
     late = quantile([seen["late_ms"]], 1.0)
-    held_ = (seen["p99_ratio"] <= AIM_RATIO and late <= AIM_LATE_MS and seen["growth_mb"] <= AIM_GROWTH_MB
+    held_ = (seen["hanging"]["n"] > 500 and seen["p99_ratio"] <= AIM_RATIO and late <= AIM_LATE_MS and seen["growth_mb"] <= AIM_GROWTH_MB
              and seen["hanging"]["unanswered"] == 0)
     close("graphite", figures, f"p99 ratio <= {AIM_RATIO}, worst line <= {AIM_LATE_MS} ms later, memory growth in the "
           f"second half <= {AIM_GROWTH_MB} MB, no line missing", held_)
@@ -245,9 +249,4 @@
 if __name__ == "__main__":
     options = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     options.add_argument("--short", action="store_true")
-    try:
-        with contextlib.redirect_stdout(sys.stderr):
-            pass
-        asyncio.run(main(options.parse_args().short))
-    except KeyboardInterrupt:
-        sys.exit(1)
+    asyncio.run(main(options.parse_args().short))
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -83,9 +83,11 @@
 
 
 @contextlib.asynccontextmanager
-async def pilot(discovery: str, extra: list[str]):
-    """A pilot in a process of its own, at a port that the system gives; gives its address, and ends it."""
-    said = json.loads((ROOT / "examples" / "config.json").read_text()) | {"listen": "127.0.0.1:0", "discovery": discovery}
+async def pilot(discovery: str, extra: list[str], said: dict | None = None, quiet: bool = False):
+    """A pilot in a process of its own, at a port that the system gives; gives its address, and ends it. `said` is its
+    configuration, else that of the example."""
+    said = said or json.loads((ROOT / "examples" / "config.json").read_text())
+    said = said | {"listen": "127.0.0.1:0", "discovery": discovery}
     with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
         json.dump(said, file)
         file.flush()
@@ -96,7 +98,7 @@
 
         async def log() -> None:
             while line := (await process.stderr.readline()).decode():
-                print("pilot:", line.rstrip()[:200])
+                print("pilot:", line.rstrip()[:200], file=sys.stderr if quiet else sys.stdout)
                 if " serves at " in line and not where.done():
                     where.set_result(line.split()[-1])
             if not where.done():
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from benchmarks.leases import MODEL_BREAKS, model
 from ravenshelf.leadership import dividing
 from ravenshelf.leadership.decisions import GRANTING, KEEPING, LAPSED, NONE, OWNER, TERMS, Member, Ways
 from ravenshelf.leadership.gate import MOST_HELD, Needs, ShardGate
@@ -360,3 +361,8 @@
     assert [r for r, _, _ in check([(1.0, "owner", 0, 0), (2.0, "lost", 0), (2.5, "whole"), (9.0, "took", 0, 1, 1, ("bind",))],
                                    3)] == ["takeover late"]
     assert ENDS > 0
+
+
+@pytest.mark.parametrize("broken", MODEL_BREAKS)
+def test_the_lease_rules_hold_for_all_clocks_and_times_and_each_break_has_a_counterexample(broken):
+    assert model(broken)["found"] == ("unsat" if broken == "none" else "sat")
