--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -71,8 +71,14 @@
         try:
             await installation.until(lambda: installation.settled(12), 30)
             had = installation.shards_of("c0")
+            release = {"s-0", "s-4", "s-8", "s-11"}     # a third of the fleet drains while it is taken over
+            for uid in sorted(release):
+                await installation.discovery.change(uid, "DRAINING")
             await installation.kill("c0")
             assert await installation.until(lambda: not installation.shards_of("c0") & had, 15) < 5
+            await installation.until(lambda: not any(release & (p.table.keys() - p.out) for p in installation.proxies), 5)
+            for uid in sorted(release):
+                await installation.discovery.change(uid, "SERVING", time.time() * 1000)
             await installation.run("c0")
             await installation.until(lambda: installation.settled(12), 30)
             had = installation.shards_of("c1")
