An orphaned shard is asked for by whoever sees it; a renewal tells a voter what it missed

Need: with five controllers, one restarted and one paused, a shard stayed without an owner for 12 s and longer (benchmarks.takeover timed out). Cause, by the status of all members: the restarted one's voter had missed a grant and refused nothing and learnt nothing from renewals in the later term, so it thought another shard free, and members that divide by different views each left the orphan to another.

Change: a renewal in a later term is promised like an ask where no other lease stands; an orphan of two leases is asked for by any member, by probing, which harms no owner.

--- a/ravenshelf/leadership/decisions.py
+++ b/ravenshelf/leadership/decisions.py
@@ -137,6 +137,7 @@
         self.lonely_since: int | None = now     # since when no majority was heard
         self.ticked = now
         self.heirs: dict[int, tuple[int, int]] = {}     # shard: (who is to have it, until when it is left to them)
+        self.orphans: dict[int, int] = {}               # shard: since when nobody has it, as far as we know
 
     # --- what may be ordered ---
 
@@ -281,9 +282,11 @@
             return
         owners = [self.holder(now, s) for s in range(self.ways.shards)]
         wanted = divide(owners, self.there(now))
-        asks = [s for s, m in enumerate(wanted)
-                if m == self.me and owners[s] is None and self.claims[s].state == NONE
-                and now >= self.claims[s].again and self._left_to_us(now, s)]
+        self.orphans = {s: self.orphans.get(s, now) for s, m in enumerate(owners) if m is None}
+        # members may know of different owners and each leave an orphan to another: after a while whoever sees it asks
+        asks = [s for s, since in self.orphans.items()
+                if (wanted[s] == self.me or now - since > 2 * self.ways.lease) and self.claims[s].state == NONE
+                and now >= self.claims[s].again and self._left_to_us(now, s) and not self.draining]
         self._probe(now, asks[:self.takes.take(now, len(asks))], out)
         gives: dict[int, list[int]] = {}
         for shard, member in enumerate(wanted):
@@ -427,6 +430,10 @@
         good, refused = [], []
         for shard, term in terms:
             vote = self.votes[shard]
+            if term > vote.promised and (vote.owner in (None, member) or now >= vote.until):
+                vote.promised = term        # a majority has granted it while this voter was away: it would else know nothing
+                out.keep(shard, vote.promised, vote.term, vote.seq, vote.record)
+                self._superseded(shard, out)
             if term == vote.promised and (vote.owner in (None, member) or now >= vote.until):
                 vote.owner, vote.until = member, now + self.ways.lease
                 good.append(shard)
--- a/ravenshelf/leadership/service.py
+++ b/ravenshelf/leadership/service.py
@@ -277,6 +277,10 @@
                              "weight": round(weights.get(n, 0.0), 2),
                              "shards": sum(member.holder(now, s) == n for s in range(self.ways.shards))}
                             for n, name in enumerate(self.names)],
+                "unowned": [{"shard": s, "promised": v.promised, "granted": self.names[v.owner] if v.owner is not None else "",
+                             "lease_ms": max(0, (v.until - now) // 1000), "state": member.claims[s].state,
+                             "heir": member.heirs.get(s, (None, 0))}
+                            for s, v in enumerate(member.votes) if member.holder(now, s) is None],
                 "shards": [{"shard": s, "state": c.state, "term": c.term, "record": c.seq,
                             "lease_ms": max(0, (c.good - now) // 1000) if c.state == OWNER else 0,
                             "proxies": self.adapter.proxies([s])}
