--- a/ravenshelf/collectd/decisions.py
+++ b/ravenshelf/collectd/decisions.py
@@ -23,7 +23,7 @@
 from typing import Callable, Iterable, Sequence
 
 from ravenshelf.collectd.types import Source
-from ravenshelf.collectd.wire import ABSOLUTE, COUNTER, DERIVE, GAUGE, ValueList
+from ravenshelf.collectd.wire import ABSOLUTE, DERIVE, GAUGE, ValueList
 
 SECOND = 1_000_000
 JUMP, JUMPS = 30 * SECOND, 3        # so much older than its offset allows, so often in a row: the clock was set
--- a/ravenshelf/graphite/link.py
+++ b/ravenshelf/graphite/link.py
@@ -3,7 +3,6 @@
 from typing import Callable
 
 from ravenshelf.memory.buffers import Buffers
-from ravenshelf.net.ends import End
 from ravenshelf.net.reading import Reading
 
 # of the system's buffer: what lies there counts as sent, so a large one would hide that nobody reads for minutes
--- a/ravenshelf/leadership/service.py
+++ b/ravenshelf/leadership/service.py
@@ -20,7 +20,6 @@
 DIAL_EVERY, DIAL_BY = 300_000, 1.0
 MEET_BY = 2 * SECOND        # whoever has not said hello by then is shut out
 MOST_UNMET = 32
-LATE_SPAN = 5 * SECOND
 
 
 def clock() -> int:
