A round's charge is what was settled: answers heard in it no longer count lines twice

Cause: Rounds took the charge as the difference of what waits before and after the round; since an answer lowers what waits, the difference was too small and the rest was added again.

Change: the charge is the settled entry of the channel; a test that fails without it.

--- a/ravenshelf/process/rounds.py
+++ b/ravenshelf/process/rounds.py
@@ -43,7 +43,7 @@
         news, self.news = self.news, []
         channel = self.controller.channel
         channel.drain(now)
-        before = channel.waiting
+        before = channel.number
         try:
             self._settle(channel)
             self.controller.round(now, news, self.sent)
@@ -69,7 +69,8 @@
                 self.gate.offer(proxy, parts, message, ticket)
             if self.tap is not None:
                 self.tap.sent(proxy, parts, ticket)
-        charged = channel.waiting - before
+        # not by what waits before and after: answers heard in this round have taken something out of that
+        charged = channel.open[-1][3] if channel.number != before else 0.0
         self.counters["lines_charged"] += charged
         self.counters["lines_written"] += written
         if written > charged + 1e-6:    # never may the module think the queue shorter than it is
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -281,6 +281,13 @@
     assert p.counters["lines_beyond_charge"] == 1 + 3 == p.rounds.controller.channel.waiting
 
 
+def test_an_answer_in_the_round_is_no_part_of_its_charge(play):
+    p = play()
+    p.run(join(0))
+    p.run(("applied", (0, 1, 1000)), join(1))
+    assert p.out and p.counters["lines_written"] == p.counters["lines_charged"] and not p.counters["lines_beyond_charge"]
+
+
 def test_doubts_are_settled_as_the_channel_has_room(play):
     p = play()
     p.run(join(0, False))
