A lowered level goes on record; a moved share frees its spool; dead names out

A record kept the highest level ever ordered, so a successor would have let in at once what was refused later. Batches from the spool that moved to another receiver never counted as done, so its next segment was never read.

Change: after a lower level has left the record is lowered, tries stay; Outlet.give_up settles the spool's count; an unused function and an unused field removed. Nothing that runs on the platform is touched.

--- a/ravenshelf/collectd/types.py
+++ b/ravenshelf/collectd/types.py
@@ -1,5 +1,5 @@
 """types.db: what values a type has, of which kind, and between what bounds. Parsing is pure."""
-from ravenshelf.collectd.wire import KINDS, ValueList
+from ravenshelf.collectd.wire import KINDS
 
 # what the signal is made of; an installation with types of its own names its file in the operator file
 OWN = """\
@@ -39,9 +39,3 @@
     except ValueError:
         raise Wrong(f"{file}:{number}: expected name:KIND:least:most with a KIND of {', '.join(KINDS)} and U for "
                     f"no bound, not {part[:60]!r}") from None
-
-
-def fits(types: dict[str, tuple[Source, ...]], one: ValueList) -> bool:
-    """Whether the list's values are those of its type, in number and kind."""
-    sources = types.get(one.type)
-    return sources is not None and [s[1] for s in sources] == [kind for kind, _ in one.values]
--- a/ravenshelf/graphite/outlet.py
+++ b/ravenshelf/graphite/outlet.py
@@ -239,6 +239,12 @@
         self.spool_busy = True
         self.spool.read(told)
 
+    def give_up(self, tried: bool = False) -> list[Batch]:
+        """What another receiver is to have; of the spool's segments it counts as done."""
+        batches = self.backlog.give_up(tried)
+        self._done(batches)
+        return batches
+
     def _done(self, batches: list[Batch]) -> None:
         """Received or let go: a segment whose batches are all done is removed."""
         for batch in batches:
--- a/ravenshelf/graphite/service.py
+++ b/ravenshelf/graphite/service.py
@@ -79,7 +79,7 @@
         for receiver, outlet in self.outlets.items():
             held, self.holding[receiver] = self.holding[receiver], outlet.decisions.holds_share(now)
             if held and not self.holding[receiver]:
-                batches = outlet.backlog.give_up() if any(self.holding.values()) else []
+                batches = outlet.give_up() if any(self.holding.values()) else []
                 events.RECEIVER_AWAY(receiver=receiver, moved=sum(map(len, batches)))
                 self._deal(batches)
             elif not held and self.holding[receiver]:
@@ -114,7 +114,7 @@
         for receiver, outlet in gone.items():
             # by share what may have been taken stays untold, for it may stand at the old one; where each has all
             # figures, the new one has none of them
-            batches = outlet.backlog.give_up(tried=table.route == "all")
+            batches = outlet.give_up(tried=table.route == "all")
             outlet.close()
             if receiver in table.receivers:     # the same receiver by another protocol
                 self.outlets[receiver].measured([Batch(b.time, b.importance, b.points) for b in batches])
--- a/ravenshelf/graphite/spool.py
+++ b/ravenshelf/graphite/spool.py
@@ -40,7 +40,6 @@
         self.folder, self.most, self.files = folder / name, most, files
         self.thread, self.back = thread, back
         self.segments: Segments | None = None
-        self.sent_out: int | None = None    # the segment whose batches are being sent
 
     def _do(self, work: Callable, told: Callable) -> None:
         def run() -> None:
--- a/ravenshelf/leadership/adapter.py
+++ b/ravenshelf/leadership/adapter.py
@@ -147,7 +147,8 @@
             right = self.member.may_order(now, shard, held.seq)
             return right == GRANTING or (right == KEEPING and held.needs.met_by(owned.gate.record))
 
-        for held in owned.gate.leave(claim.safe, may):
+        left = owned.gate.leave(claim.safe, may)
+        for held in left:
             message, mark = held.message
             if self.member.may_order(self.clock(), shard, held.seq) is None:
                 self.counters["orders_without_right"] += 1      # stood still since it was looked at
@@ -155,6 +156,9 @@
                 continue
             self.counters["orders_fenced"] += 1
             self.write(held.proxy, message, mark, owned.term)
+        record = owned.gate.lowered(left)
+        if record is not None and (seq := self.put(shard, record.pack())) is not None:
+            owned.gate.wrote(record, seq)
         if not owned.gate.crowded or self.member.may_order(self.clock(), shard) is None:
             return
         for proxy in list(owned.gate.crowded):
--- a/ravenshelf/leadership/gate.py
+++ b/ravenshelf/leadership/gate.py
@@ -72,6 +72,15 @@
                 if held.seq == -1 and held.needs.met_by(record):
                     held.seq = seq
 
+    def lowered(self, left: Iterable[Held]) -> Record | None:
+        """The record after orders that refuse more have left, or None where it stays: a successor must not let in
+        what an earlier, higher level still on record would."""
+        record, changed = self.record.copy(), False
+        for held in left:
+            for group, level, _ in held.needs.levels:
+                changed = record.lower(group, level) or changed
+        return record if changed else None
+
     def returned(self, endpoints: Iterable[str]) -> bool:
         """Endpoints that a newer list says are ready: their drains end. True: the record has changed."""
         ended = [e for e in endpoints if e in self.record.drains]
--- a/ravenshelf/leadership/record.py
+++ b/ravenshelf/leadership/record.py
@@ -68,6 +68,10 @@
         had = self.levels.get(group, (0.0, 0))
         self.levels[group] = (max(had[0], level), max(had[1], tries))
 
-    def lower(self, group: str, level: float, tries: int) -> None:
-        """The order that allowed more has been followed by a lower one everywhere."""
-        self.levels[group] = (level, tries)
+    def lower(self, group: str, level: float) -> bool:
+        """A lower level has left: a successor begins from it. What was allowed of tries stays. True: it has changed."""
+        had = self.levels.get(group)
+        if had is None or had[0] <= level:
+            return False
+        self.levels[group] = (level, had[1])
+        return True
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -366,3 +366,10 @@
 @pytest.mark.parametrize("broken", MODEL_BREAKS)
 def test_the_lease_rules_hold_for_all_clocks_and_times_and_each_break_has_a_counterexample(broken):
     assert model(broken)["found"] == ("unsat" if broken == "none" else "sat")
+
+
+def test_a_lower_level_that_has_left_is_what_a_successor_begins_from():
+    gate = ShardGate(Record(levels={"read": (1e6, 2)}))
+    assert not gate.offer(1, "refuse", Needs(levels=[("read", 40.0, 1)]))     # the record allows more: it leaves at once
+    left = gate.leave(0, lambda held: True)
+    assert gate.lowered(left).levels == {"read": (40.0, 2)} and gate.lowered([]) is None
