Mark numbers no longer come round again while their first round waits in the channel

Cause: Channel.settle numbered rounds `% 250` (rules.py) while a round a tick is played during a mass join and a message takes up to 14 s where 26,300 lines may wait at 1,500 a second. An answer to the first round of a number was booked to the second, so all rounds between were taken for passed.

Change: numbers run to 65,535, the most the wire has; believed queues are kept for the newest 8,191 of them. Test: 600 rounds of joins with one late answer; fails with `% 250`.

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -27,6 +27,7 @@
 LUKEWARM, FAILING = 0.5, 0.6                # a colder one has no line where the zone's middle is worse
 NOTICED_SPAN, CROWDED, CROWDED_MOST = 20 * SECOND, 0.2, 0.5     # of machines: memory; excess; most loss
 UNHEARD = 20 * SECOND                       # until a message that nobody answers for has passed
+MARKS = 65_535                              # as many numbers as the wire has
 SLACK, BLIND = 0.2, 0.25                    # of a part, over its due; of a cold share, while no flow is known
 
 
@@ -119,13 +120,17 @@
     def settle(self, now, orders):
         if not self.round:
             return
-        self.number = self.number % 250 + 1
+        self.number = self.number % MARKS + 1   # none comes again while its first round may be answered
         orders.mark(self.number)
         for p in self.round:
             self.sent.setdefault(p, deque()).append(now)
         lines = {p: n + self.head + 1 for p, n in self.round.items()}
         self.open.append([self.number, now, lines, sum(lines.values())])
-        self.marks[self.number] = self.waiting = self.waiting + self.open[-1][3]
+        self.waiting += self.open[-1][3]
+        self.marks.pop(self.number, None)
+        self.marks[self.number] = self.waiting
+        while len(self.marks) > MARKS // 8:     # the oldest first; a round a tick for seconds
+            del self.marks[next(iter(self.marks))]
         self.round = {}
 
     def applied(self, proxy, mark, took):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -90,6 +90,21 @@
     assert p.kept.out == {0}
 
 
+def test_answers_are_booked_to_their_own_round_however_many_wait():
+    """A mass join makes a round a tick; at full size 258 of them waited, and numbers that came again hid 250."""
+    channel = Channel({"lines_per_s": 1500.0, "envelope": 3.0, "most_waiting": 26_300, "late_most_us": SECOND})
+    marks = []
+    orders = type("Marks", (), {"mark": lambda self, number: marks.append(number)})()
+    for n in range(600):
+        channel.drain(n * 6000)
+        channel.charge([n], 20)
+        channel.settle(n * 6000, orders)
+    assert len(set(marks)) == 600
+    before = channel.unanswered(channel.at)
+    channel.applied(10, marks[10], 900_000)
+    assert before - channel.unanswered(channel.at) == 11 * 24 and channel.waiting > 400 * 24
+
+
 def test_channel_learns_a_slow_pace_from_its_acks():
     channel = Channel({"lines_per_s": 1000.0, "envelope": 3.0, "most_waiting": 2000, "late_most_us": SECOND // 2})
     channel.charge(range(20), 46)
