The queue is what no answer proves to have left, streams that break counted by their place

Cause: Channel.applied (rules.py) took an answer as proof that everything ordered earlier had left the channel. Once streams break that does not hold.

Change: each round has a place, the lines ever ordered less those dropped; an answer proves only rounds older than it with a lower place. Beside the believed queue, `room` holds what nothing proves to have left under 0.85 to 0.95 of the limit, whatever the pace. What waits for a stream that this pilot ended (End.UNREAD) stays counted; lines beyond the charge are a round of their own. UNHEARD grows with most_waiting over lines_per_s: the settings let 26,300 lines wait at 1,500 a second.

--- a/ravenshelf/process/door.py
+++ b/ravenshelf/process/door.py
@@ -82,8 +82,8 @@
         if connection.purpose == STREAM and self.streams.get(connection.proxy) is connection:
             del self.streams[connection.proxy]
             name = outcome(STREAM, connection.end)
-            if name is not None:
-                self.news(name, (connection.proxy,))
+            if name is not None:        # what waits for a stream that the pilot ended goes on counting
+                self.news(name, (connection.proxy, True) if connection.end is End.UNREAD else (connection.proxy,))
 
     def fences(self, proxy: int) -> bool:
         """Whether the proxy refuses orders of an older term: it said so when it joined."""
--- a/ravenshelf/process/rounds.py
+++ b/ravenshelf/process/rounds.py
@@ -70,12 +70,12 @@
             if self.tap is not None:
                 self.tap.sent(proxy, parts, ticket)
         # not by what waits before and after: answers heard in this round have taken something out of that
-        charged = channel.open[-1][3] if channel.number != before else 0.0
+        charged = channel.open[-1].total if channel.number != before else 0.0
         self.counters["lines_charged"] += charged
         self.counters["lines_written"] += written
         if written > charged + 1e-6:    # never may the module think the queue shorter than it is
             self.counters["lines_beyond_charge"] += written - charged
-            channel.waiting += written - charged
+            channel.beyond(written - charged)
         self.counters["rounds"] += 1
         return [*calls, *(("wake", at, key) for at, key in wakes)]
 
--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -27,7 +27,7 @@
 LUKEWARM, FAILING = 0.5, 0.6                # a colder one has no line where the zone's middle is worse
 NOTICED_SPAN, CROWDED, CROWDED_MOST = 20 * SECOND, 0.2, 0.5     # of machines: memory; excess; most loss
 UNHEARD = 20 * SECOND                       # until a message that nobody answers for has passed
-MARKS = 65_535                              # as many numbers as the wire has
+MARKS, SLOWEST = 65_535, 10                 # numbers of the wire; a channel's usual pace over its slowest
 SLACK, BLIND = 0.2, 0.25                    # of a part, over its due; of a cold share, while no flow is known
 
 
@@ -78,31 +78,64 @@
         return [s[0] / longest for s in sums] if longest > 0.05 else None
 
 
+class Sending:
+    """What a round ordered: lines by proxy not answered for, its place, when it may leave at the soonest."""
+    def __init__(self, number, at, lines, begins, soonest):
+        self.number, self.at, self.lines, self.begins, self.soonest = number, at, lines, begins, soonest
+        self.total, self.answered, self.before = sum(lines.values()), 0.0, 0.0
+        self.ends = begins + self.total
+
+
 class Channel:
-    """Counts lines, heads and messages before they are ordered: a full queue breaks a rule."""
+    """Counts lines, heads and messages before they are ordered: a full queue breaks a rule.
+
+    A message waits until it and all before it have left. What waits for a stream that breaks is dropped; what
+    is ordered later leaves sooner by that, maybe before what is older. So an answer proves only what lies
+    before it both in order and by its place, which is the lines ever ordered less those dropped."""
     def __init__(self, service):
         self.pace = self.usual = max(1.0, service.get("lines_per_s") or 1e9)
         self.head, self.most = service.get("envelope", 6.0), service.get("most_waiting") or 1e9
         self.messages, self.over = service.get("messages_most", 0), service.get("counted_over_us", 10**7)
         self.late_most = service.get("late_most_us", SECOND)
-        self.waiting, self.at, self.sent, self.round, self.marks, self.number = 0.0, 0, {}, {}, {}, 0
-        self.open = deque()     # rounds that may not have passed: number, when, lines by proxy
+        # until what nobody answers for has passed, however slow the channel; an end must come where none can
+        self.unheard = self.late_most + max(UNHEARD, SLOWEST * self.most / self.usual * SECOND)
+        self.waiting, self.at, self.sent, self.round, self.number = 0.0, 0, {}, {}, 0
+        self.open, self.total, self.placed = deque(), 0.0, 0.0  # not proved to have left; their lines; places
+        self.free = 0.0                         # when the channel may be through with all at the soonest
+        self.marks, self.proofs = {}, []        # number: its sending; what answers prove: (number, place)
 
     def drain(self, now):
         # time takes lines out at the believed pace, but none that should be answered for and is not
         self.waiting, self.at = max(0.0, self.waiting - self.pace * (now - self.at) / SECOND), now
-        while self.open and (self.open[0][1] < now - UNHEARD or not self.open[0][2]):
-            self.open.popleft()
-        self.waiting = max(self.waiting, self.unanswered(now - self.late_most))
-
-    def unanswered(self, before):
-        return sum(total for _, at, _, total in self.open if at <= before)
+        self.prove()
+        old, before = 0.0, now - self.late_most
+        for sending in self.open:
+            if sending.at > before:
+                break
+            old += sending.total
+        self.waiting = max(self.waiting, old - self.open[0].answered if old else 0.0)
+
+    def unproved(self):
+        """Lines that may wait, whatever the pace; of the oldest sending, what is answered for has left."""
+        return self.total - self.open[0].answered if self.open else 0.0
+
+    def prove(self):
+        """Takes out, oldest first, what is proved to have left."""
+        while self.open:
+            first = self.open[0]
+            if (first.answered < first.ends - first.begins and first.at >= self.at - self.unheard
+                    and not any(n > first.number and place >= first.ends for n, place in self.proofs)):
+                break
+            self.total -= self.open.popleft().total
+        self.proofs = [p for p in self.proofs if self.open and p[0] > self.open[0].number]
+        self.waiting = min(self.waiting, self.unproved())
 
     def room(self, lines, proxies, urgent):
         """Whether so many lines to each of these proxies fit; the ordinary leaves half to the urgent."""
         heads = len(self.round.keys() | set(proxies))
         asked = sum(self.round.values()) + len(proxies) * lines + heads * (self.head + 1)
-        if self.waiting + asked > self.most * (0.45, 0.65, 0.65, 0.75, 0.88)[urgent]:   # no join starves
+        if (self.waiting + asked > self.most * (0.45, 0.65, 0.65, 0.75, 0.88)[urgent]   # no join starves
+                or self.unproved() + asked > self.most * (0.85, 0.85, 0.85, 0.9, 0.95)[urgent]):
             return False
         few = round(self.messages * (0.6, 0.7, 0.8, 0.8, 1.0)[urgent]) or 1e9   # the last for withdrawals
         return all(p in self.round or self.count(p) < few for p in proxies)
@@ -117,35 +150,58 @@
         for p in proxies:
             self.round[p] = self.round.get(p, 0) + lines
 
-    def settle(self, now, orders):
-        if not self.round:
+    def beyond(self, lines):
+        """Lines that were written and not charged count as well, answered for by nobody."""
+        self.settle(self.at, None, {None: lines})
+
+    def settle(self, now, orders, lines=None):
+        lines = lines or {p: n + self.head + 1 for p, n in self.round.items()}
+        if not lines:
             return
-        self.number = self.number % MARKS + 1   # none comes again while its first round may be answered
-        orders.mark(self.number)
-        for p in self.round:
-            self.sent.setdefault(p, deque()).append(now)
-        lines = {p: n + self.head + 1 for p, n in self.round.items()}
-        self.open.append([self.number, now, lines, sum(lines.values())])
-        self.waiting += self.open[-1][3]
-        self.marks.pop(self.number, None)
-        self.marks[self.number] = self.waiting
-        while len(self.marks) > MARKS // 8:     # the oldest first; a round a tick for seconds
-            del self.marks[next(iter(self.marks))]
-        self.round = {}
+        self.number += 1        # a mark is given again only when its first round is long answered for
+        self.free = max(self.free, now)
+        sending = Sending(self.number, now, lines, self.placed, self.free)
+        self.free += sending.total * SECOND / self.usual
+        if orders is not None:
+            orders.mark((self.number - 1) % MARKS + 1)
+            self.marks[self.number] = sending
+            self.marks.pop(self.number - MARKS // 8, None)
+            for p in self.round:
+                self.sent.setdefault(p, deque()).append(now)
+            self.round = {}
+        self.open.append(sending)
+        self.placed, self.total = sending.ends, self.total + sending.total
+        self.waiting += sending.total
+        sending.before = self.waiting
 
     def applied(self, proxy, mark, took):
         """The true pace shows in how long a message took against what lay before it, which has passed too."""
-        if any(number == mark for number, *_ in self.open):
-            while self.open[0][0] != mark:
-                self.open.popleft()
-            self.open[0][3] -= self.open[0][2].pop(proxy, 0)
-            self.waiting = min(self.waiting, self.unanswered(self.at))
-        before, spare = self.marks.get(mark, 0.0), took - self.late_most
+        sending = self.marks.get(self.number - (self.number - mark) % MARKS)
+        if sending is None:
+            return
+        sending.answered += sending.lines.pop(proxy, 0)
+        if not any(n >= sending.number and place >= sending.begins for n, place in self.proofs):
+            self.proofs = [p for p in self.proofs if p[0] > sending.number or p[1] > sending.begins]
+            self.proofs.append((sending.number, sending.begins))
+        self.prove()
+        before, spare = sending.before, took - self.late_most
         if before and spare > 0 and before / spare * SECOND < self.pace:
             self.pace = max(0.05 * self.usual, before / spare * SECOND)
         elif before and took < self.late_most + before / self.usual * SECOND:
             self.pace += (self.usual - self.pace) * 0.1
 
+    def left(self, proxy):
+        """What waits for it is dropped, as much as may be: so no later answer proves too much.
+
+        It counts no longer where it can't have left yet: what has left may wait for what is older."""
+        self.sent.pop(proxy, None)
+        for sending in self.open:
+            if lines := sending.lines.pop(proxy, 0):
+                self.placed, self.free = self.placed - lines, self.free - lines * SECOND / self.usual
+                if sending.soonest > self.at:
+                    sending.total, self.total = sending.total - lines, self.total - lines
+        self.prove()
+
 
 class Curve:
     """Share of missed tries against a zone's demand per listed weight."""
@@ -330,8 +386,11 @@
         self.proxies[proxy] = Proxy(min(zone, self.zones - 1), usual, len(self.groups))
         self.channel.sent.pop(proxy, None)
 
-    def left(self, proxy):
+    def left(self, proxy, ended=False):
+        """What waits for a stream that this pilot ended itself stays counted."""
         self.proxies.pop(proxy, None)
+        if not ended:
+            self.channel.left(proxy)
 
     def heard(self, zone, index, tries, dropped, latency, window, report):
         e, now = self.endpoints.get(index), self.now
--- /dev/null
+++ b/tests/test_channel.py
@@ -0,0 +1,144 @@
+"""The channel's belief against a model of the channel by the pages' words, on seeded schedules."""
+import random
+from collections import deque
+from dataclasses import dataclass
+
+import pytest
+
+from ravenshelf.rules import SECOND, Channel
+
+PROXIES, MOST, USUAL, HEAD, LATE = 500, 26_300, 1500.0, 3, SECOND
+SETTINGS = {"lines_per_s": USUAL, "envelope": HEAD, "most_waiting": MOST, "late_most_us": LATE}
+
+
+@dataclass
+class Message:
+    proxy: int | None       # None once its stream has broken
+    lines: int
+    mark: int
+    entered: int
+    leaves: float
+    told: bool = False
+
+
+class Slow:
+    """Messages leave at their time, and wait until all before them have left as well; what waits for a stream
+    that breaks is dropped, and what enters later leaves sooner by that."""
+
+    def __init__(self):
+        self.now, self.pace, self.busy, self.queue, self.most = 0, USUAL, 0.0, deque(), 0
+
+    def enter(self, proxy: int, lines: int, mark: int) -> None:
+        lines += HEAD
+        self.busy = max(self.busy, self.now) + lines * SECOND / self.pace
+        self.queue.append(Message(proxy, lines, mark, self.now, self.busy))
+        self.most = max(self.most, sum(m.lines for m in self.queue))
+
+    def broke(self, proxy: int) -> None:
+        for m in self.queue:
+            if m.proxy == proxy and m.leaves > self.now:
+                self.busy -= m.lines * SECOND / self.pace
+                m.proxy, m.lines = None, 0
+
+    def turn(self, now: int) -> list[Message]:
+        """What has left since the last turn."""
+        self.now = now
+        left = [m for m in self.queue if m.leaves <= now and m.proxy is not None and not m.told]
+        for m in left:
+            m.told = True
+        while self.queue and self.queue[0].leaves <= now:
+            self.queue.popleft()
+        return left
+
+
+class Schedule:
+    """A minute of joins, messages of all sizes, three times when most streams break, and a slow spell."""
+
+    def __init__(self, seed: int, channel: Channel):
+        self.chance, self.channel, self.true, self.marks = random.Random(seed), channel, Slow(), []
+        self.slow = sorted(self.chance.sample(range(60), 2)) if seed % 2 else (0, 0)
+        self.broken, self.answers, self.entered = self.chance.sample(range(4, 60), 3), [], 0
+
+    def mark(self, number: int) -> None:
+        self.marks.append(number)
+
+    def tick(self, n: int) -> None:
+        now, channel, chance = n * SECOND // 20, self.channel, self.chance
+        slowed = self.slow[0] <= n // 20 < self.slow[1]
+        self.true.pace = USUAL * (chance.choice((0.1, 0.3)) if slowed else 1)
+        for m in self.true.turn(now):
+            if chance.random() > 0.05:      # some answers get lost
+                self.answers.append((now + chance.randrange(LATE // 10, LATE), m))
+        if n % 20 == 0 and n // 20 in self.broken:
+            for proxy in chance.sample(range(PROXIES), PROXIES * 7 // 10):
+                self.true.broke(proxy)
+                channel.left(proxy)
+                self.answers = [a for a in self.answers if a[1].proxy != proxy]
+        channel.drain(now)
+        for at, m in [a for a in self.answers if a[0] <= now]:
+            channel.applied(m.proxy, m.mark, at - m.entered)
+        self.answers = [a for a in self.answers if a[0] > now]
+        sent: dict[int, int] = {}
+        for _ in range(chance.choice((1, 3, 80))):
+            proxy, lines = chance.randrange(PROXIES), chance.choice((4, 12, 50))
+            if channel.room(lines, [proxy], chance.choice((0, 3, 4))):
+                channel.charge([proxy], lines)
+                sent[proxy] = sent.get(proxy, 0) + lines
+        channel.settle(now, self)
+        for proxy, lines in sent.items():
+            self.true.enter(proxy, lines + 1, self.marks[-1])
+            self.entered += lines
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_what_waits_never_passes_the_limit(seed):
+    schedule = Schedule(seed, Channel(SETTINGS))
+    for n in range(1200):
+        schedule.tick(n)
+    assert schedule.true.most <= MOST and schedule.entered > 15_000
+
+
+class Marks250(Channel):
+    """Numbers that come again while their first round waits."""
+    def applied(self, proxy, mark, took):
+        again = self.number - (self.number - mark) % 250
+        super().applied(proxy, again, took)
+
+
+class NoHeads(Channel):
+    def __init__(self, service):
+        super().__init__(service)
+        self.head = -1
+
+
+class AnyAnswerProves(Channel):
+    """An answer taken as proof of all that was ordered before it, whatever broke in between."""
+    def left(self, proxy):
+        placed = self.placed
+        super().left(proxy)
+        self.placed = placed
+
+
+@pytest.mark.parametrize("broken", [Marks250, NoHeads, AnyAnswerProves])
+def test_the_model_sees_deliberate_breaks(broken):
+    for seed in range(40):
+        schedule = Schedule(seed, broken(SETTINGS))
+        for n in range(1200):
+            schedule.tick(n)
+        if schedule.true.most > MOST:
+            return
+    raise AssertionError("no schedule broke")
+
+
+def test_what_is_dropped_with_a_stream_counts_until_it_is_sure_not_to_have_left():
+    channel = Channel(SETTINGS)
+    channel.charge([1, 2], 96)
+    channel.settle(0, type("Marks", (), {"mark": lambda self, number: None})())
+    channel.left(1)
+    assert channel.waiting == channel.unproved() == 200     # it may have left, and wait for what is older
+    channel.beyond(20)
+    assert channel.unproved() == 220    # written beyond the charge: no answer takes it out
+    channel.charge([1, 2], 96)
+    channel.settle(0, type("Marks", (), {"mark": lambda self, number: None})())
+    channel.left(1)
+    assert channel.unproved() == 320    # this one can't have left yet
