--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -517,7 +517,11 @@
             here = sum(e.zone == z for e in self.usable())
             most = int(min(here // PART_ENDPOINTS, proxies // PART_PROXIES))
             self.parts[z] = self.parts[z] or (max(1, most) if here else 0)
-        needs = [[0.0] * (n or 1) for n in self.parts]
+        here = [0] * self.zones     # those to come share the load evenly: else the first few find all on one
+        for p in self.proxies.values():     # table, which then borrows of every other part, line by line
+            here[p.zone] += 1
+        usual = sum(p.usual for p in self.proxies.values()) / max(1, len(self.proxies))
+        needs = [[max(0.0, proxies - h) * usual / (n or 1)] * (n or 1) for h, n in zip(here, self.parts)]
         for p in self.proxies.values():
             if p.part is not None:
                 needs[p.zone][p.part] += sum(p.demand(self.now) or [p.usual])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -496,3 +496,13 @@
                  + [met(0, e, dropped=20 if e == 0 else 0) for e in range(4)])
         loads.append(made.load(0))
     assert loads[0] < 0.1 and loads[1] == pytest.approx(loads[0], rel=0.01)
+
+
+def test_the_first_proxies_of_many_find_tables_of_their_part_only(pilot):
+    """At full size the first to join had all the flows known of: its table borrowed of every part, 50 lines a bind."""
+    p = pilot("", proxies=0, service={"proxy_count": 400})
+    p.hear(("listed", ("replace", tuple((i, i % 2, 0, 0, "ready", 4.0, 0) for i in range(48)))))
+    for i in range(40):
+        p.hear(("joined", (i, i % 2, 1.0 + i % 7, False)))
+    sizes = [len(p.kept.tables[p.kept.bound[i]]) for i in range(40)]
+    assert max(sizes) <= 12 and sum(sizes) < 40 * 6
