--- a/ravenshelf/memory/sent.py
+++ b/ravenshelf/memory/sent.py
@@ -26,7 +26,8 @@
 class Held:
     """What one joined proxy was sent on its present stream, and what it may have kept from before."""
 
-    def __init__(self, unknown: bool, past: set[int]):
+    def __init__(self, place: int, unknown: bool, past: set[int]):
+        self.place = place                  # in the order in which proxies joined
         self.bound: dict[int, int] = {}     # traffic group: table
         self.out: set[int] = set()          # written out on this stream and not back again
         self.settled: set[int] = set()      # endpoints of which this stream has said out or back
@@ -44,14 +45,18 @@
         self.groups, self.alone = tuple(range(groups)), alone
         self.proxies: dict[int, Held] = {}
         self.past: dict[int, set[int]] = {}     # by proxy: what this pilot ever wrote out to it
-        self.benched: set[int] = set()
+        self.places = 0
+        self.dirty: set[int] = set()            # proxies that an order of this round names
         self.forget()
 
     def forget(self) -> None:
         """Nothing is ordered any more, as at a start; what the proxies hold is remembered."""
         self.tables: dict[int, dict[int, float]] = {}
         self.levels: dict[int, dict[int, tuple[float, int]]] = {}
-        self.benched = set()
+        self.benched: set[int] = set()
+        self.users: dict[int, set[int]] = {}    # by table: the proxies bound to it
+        self.loose = set(self.proxies)          # not bound for every traffic group
+        self.doubtful: set[int] = set()         # proxies that may hold withdrawals nobody here knows of
         for held in self.proxies.values():
             held.bound = {}
         self.drop()
@@ -64,18 +69,26 @@
         self.ticket, self.ticket_for_all = None, False
         self.wakes: list[tuple[int, str]] = []
         self.calls: list[tuple] = []
-        for held in self.proxies.values():
+        for held in [self.proxies[p] for p in self.dirty if p in self.proxies]:
             held.rebound, held.asked = set(), set()
+        self.dirty.clear()
 
     # --- proxies come and go ---
 
     def joined(self, proxy: int, fresh: bool) -> None:
         # a proxy seen before can hold only what this pilot wrote, unless another pilot may have had it meanwhile
         unknown = not fresh and not (self.alone and proxy in self.past)
-        self.proxies[proxy] = Held(unknown, set(self.past.setdefault(proxy, set())))
+        self.left(proxy)
+        self.places += 1
+        self.proxies[proxy] = Held(self.places, unknown, set(self.past.setdefault(proxy, set())))
+        self.loose.add(proxy)
 
     def left(self, proxy: int) -> None:
-        self.proxies.pop(proxy, None)
+        held = self.proxies.pop(proxy, None)
+        for table in set(held.bound.values()) if held is not None else ():
+            self.users[table].discard(proxy)
+        for known in (self.loose, self.doubtful, self.dirty):
+            known.discard(proxy)
 
     # --- the orders ---
 
@@ -97,16 +110,38 @@
 
     def bench(self, endpoint: int, out: bool) -> None:
         (self.benched.add if out else self.benched.discard)(endpoint)
-        for held in self.proxies.values():
-            if out or held.shuts_out(endpoint):     # a mere doubt is settled when the channel has room for it
-                held.asked.add(endpoint)
+        if out:     # whoever is bound to it later in the round is told with the table
+            concerned = self._holders(endpoint)
+        else:       # a mere doubt is settled when the channel has room for it
+            concerned = {proxy for proxy, held in self.proxies.items() if held.shuts_out(endpoint)}
+            self.doubtful |= {p for p in self._holders(endpoint) if self.proxies[p].unknown}
+        for proxy in concerned:
+            self._ask(proxy, (endpoint,))
+
+    def _holders(self, endpoint: int) -> set[int]:
+        """Proxies whose tables hold it, and those of whom it is not known."""
+        return self.loose.union(*(self.users.get(t, ()) for t, lines in self.tables.items() if endpoint in lines))
+
+    def _ask(self, proxy: int, endpoints) -> None:
+        self.proxies[proxy].asked.update(endpoints)
+        self.dirty.add(proxy)
 
     def bind(self, proxy: int, table: int, groups: int = 0) -> None:
-        if proxy not in self.proxies:
+        held = self.proxies.get(proxy)
+        if held is None:
             return
         meant = [g for g in self.groups if not groups or groups >> g & 1]
-        self.proxies[proxy].bound.update(dict.fromkeys(meant, table))
-        self.proxies[proxy].rebound.update(meant)
+        before = set(held.bound.values())
+        held.bound.update(dict.fromkeys(meant, table))
+        held.rebound.update(meant)
+        for gone in before - set(held.bound.values()):
+            self.users[gone].discard(proxy)
+        self.users.setdefault(table, set()).add(proxy)
+        if len(held.bound) == len(self.groups):
+            self.loose.discard(proxy)
+        if held.unknown:
+            self.doubtful.add(proxy)
+        self.dirty.add(proxy)
 
     def level(self, table: int, groups: int, level: float, tries: int) -> None:
         if not 0 <= level < float("inf") or tries not in (0, 1, 2, 3):
@@ -150,15 +185,27 @@
         known = {e for table in set(held.bound.values()) for e in self.tables.get(table, ())}
         return sorted(known - held.settled - self.benched)
 
+    def in_doubt(self) -> list[tuple[int, list[int]]]:
+        """Proxies with doubts, the one that joined first first, and of which endpoints."""
+        found = []
+        for proxy in sorted(self.doubtful, key=lambda p: self.proxies[p].place):
+            doubts = self.doubts(proxy)
+            if doubts:
+                found.append((proxy, doubts))
+            else:       # until its tables change, or a withdrawal ends
+                self.doubtful.discard(proxy)
+        return found
+
     def let_back(self, proxy: int, endpoints: list[int]) -> None:
-        self.proxies[proxy].asked.update(endpoints)
+        self._ask(proxy, endpoints)
 
     # --- the round's messages ---
 
     def messages(self) -> list[tuple[int, list[Part]]]:
         """One message for each proxy that the round's orders concern; then nothing is touched any more."""
         out = []
-        for proxy, held in self.proxies.items():
+        for proxy in self._concerned():
+            held = self.proxies[proxy]
             parts = self._message(held)
             if self.ticket is not None and (parts or self.ticket_for_all):
                 parts = parts or [Part()]
@@ -169,6 +216,16 @@
         self.drop()
         return out
 
+    def _concerned(self) -> list[int]:
+        """Proxies that orders of this round may concern, in the order in which they joined."""
+        if self.ticket_for_all or EVERYWHERE in self.leveled:
+            return list(self.proxies)
+        moved = [self.users.get(t, ()) for t in {*self.touched, *self.leveled, *self.cleared}]
+        for proxy in set().union(*(self.users.get(t, ()) for t in self.touched)):
+            if self.proxies[proxy].unknown:
+                self.doubtful.add(proxy)
+        return sorted(self.dirty.union(*moved), key=lambda p: self.proxies[p].place)
+
     def _effective(self, table: int, group: int) -> tuple[float, int] | None:
         """The lower level wins, and the table's own way of trying again."""
         own = self.levels.get(table, {}).get(group)
--- a/ravenshelf/process/rounds.py
+++ b/ravenshelf/process/rounds.py
@@ -83,9 +83,8 @@
         """Lets back what proxies may shut out by orders that are not known here, as the channel has room for it.
 
         Not with the table itself: when all proxies come at once, twice the lines would overfill the channel."""
-        for proxy in self.sent.proxies:
-            doubts = self.sent.doubts(proxy)
-            if doubts and channel.room(len(doubts), [proxy], False):
+        for proxy, doubts in self.sent.in_doubt() if channel.room(1, (), False) else ():
+            if channel.room(len(doubts), [proxy], False):
                 self.sent.let_back(proxy, doubts)
                 channel.charge([proxy], len(doubts))
 
--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -69,13 +69,22 @@
 class Proxy:
     def __init__(self, zone, usual, groups):
         self.zone, self.usual, self.table, self.part = zone, usual, None, None
-        self.flows = [Decaying(DEMAND_SPAN, 2) for _ in range(groups)]   # flows, seconds counted
+        self.groups, self.flows = groups, Decaying(DEMAND_SPAN, 2 * groups)     # flows; seconds counted
+        self.asks, self.read = None, None       # demand as last read, and when
+
+    def asked(self, now, group, flows, seconds):
+        more = [0.0] * (2 * self.groups)
+        more[group], more[self.groups + group] = flows, seconds
+        self.flows.add(now, *more)
+        self.read = None
 
     def demand(self, now):
         """Flows a second of each group; None as long as nothing was heard."""
-        sums = [d.read(now) for d in self.flows]
-        longest = max((s[1] for s in sums), default=0)    # a group without flows goes unreported
-        return [s[0] / longest for s in sums] if longest > 0.05 else None
+        if self.read != now:
+            sums, self.read = self.flows.read(now), now
+            longest = max(sums[self.groups:], default=0)    # a group without flows goes unreported
+            self.asks = [s / longest for s in sums[:self.groups]] if longest > 0.05 else None
+        return self.asks
 
 
 class Sending:
@@ -101,7 +110,7 @@
         self.unheard = self.late_most + max(UNHEARD, SLOWEST * self.most / self.usual * SECOND)
         self.waiting, self.at, self.sent, self.round, self.number = 0.0, 0, {}, {}, 0
         self.open, self.total, self.placed = deque(), 0.0, 0.0  # not proved to have left; their lines; places
-        self.free = 0.0                         # when the channel may be through with all at the soonest
+        self.free, self.asked = 0.0, 0.0        # when all may be through at the soonest; lines of this round
         self.marks, self.proofs = {}, []        # number: its sending; what answers prove: (number, place)
 
     def drain(self, now):
@@ -132,8 +141,8 @@
 
     def room(self, lines, proxies, urgent):
         """Whether so many lines to each of these proxies fit; the ordinary leaves half to the urgent."""
-        heads = len(self.round.keys() | set(proxies))
-        asked = sum(self.round.values()) + len(proxies) * lines + heads * (self.head + 1)
+        heads = sum(p not in self.round for p in proxies)
+        asked = self.asked + len(proxies) * lines + heads * (self.head + 1)
         if (self.waiting + asked > self.most * (0.45, 0.65, 0.65, 0.75, 0.88)[urgent]   # no join starves
                 or self.unproved() + asked > self.most * (0.85, 0.85, 0.85, 0.9, 0.95)[urgent]):
             return False
@@ -148,6 +157,7 @@
 
     def charge(self, proxies, lines):
         for p in proxies:
+            self.asked += lines + (0 if p in self.round else self.head + 1)
             self.round[p] = self.round.get(p, 0) + lines
 
     def beyond(self, lines):
@@ -168,7 +178,7 @@
             self.marks.pop(self.number - MARKS // 8, None)
             for p in self.round:
                 self.sent.setdefault(p, deque()).append(now)
-            self.round = {}
+            self.round, self.asked = {}, 0.0
         self.open.append(sending)
         self.placed, self.total = sending.ends, self.total + sending.total
         self.waiting += sending.total
@@ -418,8 +428,8 @@
             self.curves[zone].add(now, self.loads[zone], part * tries, part * soft)
 
     def asked(self, proxy, group, flows, unanswered, window):
-        if (p := self.proxies.get(proxy)) is not None and group < len(p.flows):
-            p.flows[group].add(self.now, max(flows, 0), window / SECOND)
+        if (p := self.proxies.get(proxy)) is not None and group < p.groups:
+            p.asked(self.now, group, max(flows, 0), window / SECOND)
 
     def noticed(self, index, busy, age):
         """How busy an endpoint's machine was, as told beside its sums; the older, the less it counts."""
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -320,3 +320,29 @@
                 levels = [sent.levels.get(t, {}).get(g) for t in (table, EVERYWHERE)]
                 lowest = min((level for level, _ in filter(None, levels)), default=None)
                 assert proxies[p].levels.get(g, (None,))[0] == lowest
+
+
+def test_a_round_looks_only_at_the_proxies_that_it_concerns():
+    """At full size every round walked all proxies: a core was busy with those of whom nothing was ordered."""
+    sent, looked = Sent(2, False), []
+    message = sent._message
+    sent._message = lambda held: looked.append(held) or message(held)
+    for table in range(10):
+        sent.line(table, table, 1.0)
+    for proxy in range(1000):
+        sent.joined(proxy, proxy % 2 == 0)
+        sent.bind(proxy, proxy % 10)
+    assert len(sent.messages()) == len(looked) == 1000
+    sent.in_doubt()
+    for order in (lambda: sent.line(3, 77, 1.0), lambda: sent.bench(3, True), lambda: sent.level(3, 0, 2.0, 1)):
+        looked.clear()
+        order()
+        assert [proxy for proxy, _ in sent.messages()] == list(range(3, 1000, 10)) and len(looked) == 100
+    sent.bench(3, False)
+    assert len(sent.messages()) == 100
+    assert [p for p, _ in sent.in_doubt()] == [p for p in range(1, 1000, 2)]
+    sent.left(5)
+    sent.joined(5, True)
+    looked.clear()
+    sent.bench(5, True)     # one that is not bound may hold anything
+    assert [proxy for proxy, _ in sent.messages()][-1] == 5 and len(looked) == 100
