What can wait is not ordered behind a long queue; a module that starts over keeps its channel

Cause: Channel.room lets ordinary orders fill 45% of the queue and tables after drains 65%. At first size (most_waiting is 1.5 s) it never showed. Also seen in reading: Rounds._start_over made a new Channel, which believes in an empty queue and gives marks again that streams hold.

Change: by urgency, an order waits for its turn in the module while 0.7, 1.5, 1.5 or 4 s of lines (at lines_per_s) are ahead; withdrawals never. At first size the parts of the queue bind sooner, as before. The reason is the settings: most_waiting over lines_per_s is 17 s. What a round that failed had charged is dropped, the channel goes to the new module. A round's record goes with it once it is proved to have left. Tests: room by urgency behind 900 to 7,000 lines; a module that fails half-way keeps what waits and gives no mark twice.

--- a/ravenshelf/process/rounds.py
+++ b/ravenshelf/process/rounds.py
@@ -94,6 +94,8 @@
         Safer than to go on with it, and than to end: the proxies' streams stay, and the new one binds them all."""
         self.failures += 1
         self.counters["module_failures"] += 1
-        self.controller = Controller(self.provisioning, self.seed + self.failures)
+        channel = self.controller.channel       # what waits in it waits on, and its marks are not given again
+        channel.drop()
+        self.controller = Controller(self.provisioning, self.seed + self.failures, channel)
         self.sent.forget()
         self.begin()
--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -27,6 +27,7 @@
 LUKEWARM, FAILING = 0.5, 0.6                # a colder one has no line where the zone's middle is worse
 NOTICED_SPAN, CROWDED, CROWDED_MOST = 20 * SECOND, 0.2, 0.5     # of machines: memory; excess; most loss
 UNHEARD = 20 * SECOND                       # until a message that nobody answers for has passed
+WAITS = (0.7, 1.5, 1.5, 4.0, 1e9)           # seconds of queue behind which an order would be stale, by urgency
 MARKS, SLOWEST = 65_535, 10                 # numbers of the wire; a channel's usual pace over its slowest
 SLACK, BLIND = 0.2, 0.25                    # of a part, over its due; of a cold share, while no flow is known
 
@@ -135,7 +136,9 @@
             if (first.answered < first.ends - first.begins and first.at >= self.at - self.unheard
                     and not any(n > first.number and place >= first.ends for n, place in self.proofs)):
                 break
-            self.total -= self.open.popleft().total
+            self.total -= first.total
+            self.open.popleft()
+            self.marks.pop(first.number, None)
         self.proofs = [p for p in self.proofs if self.open and p[0] > self.open[0].number]
         self.waiting = min(self.waiting, self.unproved())
 
@@ -143,7 +146,8 @@
         """Whether so many lines to each of these proxies fit; the ordinary leaves half to the urgent."""
         heads = sum(p not in self.round for p in proxies)
         asked = self.asked + len(proxies) * lines + heads * (self.head + 1)
-        if (self.waiting + asked > self.most * (0.45, 0.65, 0.65, 0.75, 0.88)[urgent]   # no join starves
+        if (self.waiting > self.usual * WAITS[urgent]       # it is decided anew when its turn comes
+                or self.waiting + asked > self.most * (0.45, 0.65, 0.65, 0.75, 0.88)[urgent]   # no join starves
                 or self.unproved() + asked > self.most * (0.85, 0.85, 0.85, 0.9, 0.95)[urgent]):
             return False
         few = round(self.messages * (0.6, 0.7, 0.8, 0.8, 1.0)[urgent]) or 1e9   # the last for withdrawals
@@ -160,6 +164,10 @@
             self.asked += lines + (0 if p in self.round else self.head + 1)
             self.round[p] = self.round.get(p, 0) + lines
 
+    def drop(self):
+        """What a round charged that will not be ordered."""
+        self.round, self.asked = {}, 0.0
+
     def beyond(self, lines):
         """Lines that were written and not charged count as well, answered for by nobody."""
         self.settle(self.at, None, {None: lines})
@@ -175,10 +183,9 @@
         if orders is not None:
             orders.mark((self.number - 1) % MARKS + 1)
             self.marks[self.number] = sending
-            self.marks.pop(self.number - MARKS // 8, None)
             for p in self.round:
                 self.sent.setdefault(p, deque()).append(now)
-            self.round, self.asked = {}, 0.0
+            self.drop()
         self.open.append(sending)
         self.placed, self.total = sending.ends, self.total + sending.total
         self.waiting += sending.total
@@ -345,14 +352,14 @@
 
 
 class Controller:
-    def __init__(self, provisioning, seed):
+    def __init__(self, provisioning, seed, channel=None):
         self.provisioning = provisioning
         self.service, self.rules = provisioning.get("service", {}), provisioning.get("rules", {})
         self.groups = provisioning.get("traffic_groups", [])
         self.frail = max(1.0, 3 / max(0.1, self.rules.get("fall_multiple", 4.0) - 1))  # cold ones fall
         self.zones = max(1, len(provisioning.get("zones", [])))
         self.chance = random.Random(seed)
-        self.channel = Channel(self.service)
+        self.channel = channel or Channel(self.service)     # one that another module has filled goes on
         self.applied = self.channel.applied
         self.endpoints, self.proxies, self.lines, self.levels, self.logged = {}, {}, {}, {}, (False, [])
         self.curves = [Curve() for _ in range(self.zones)]
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -315,6 +315,21 @@
     assert "whole=1 lines=s-1:" in p.out[0][1] and ("observe", True) in calls
 
 
+def test_a_module_that_starts_over_knows_what_waits_and_gives_no_mark_twice(play):
+    p = play()
+    p.run(join(0), join(1))
+    channel, waited = p.rounds.controller.channel, p.rounds.controller.channel.unproved()
+    assert waited
+    p.rounds.controller.follow_list = lambda orders: channel.charge([0], 50) or 1 / 0   # half a round is charged
+    assert p.run(("listed", ("update", ()))) is None
+    assert p.rounds.controller.channel is channel and channel.unproved() == waited and not channel.round
+    p.run()
+    tickets = [int(text.split("ticket=")[1].split()[0]) for _, text in p.out]
+    assert set(tickets) == {2} and channel.unproved() > waited
+    p.run(("applied", (0, 2, 1000)), ("applied", (1, 2, 1000)))
+    assert not channel.unproved()
+
+
 # --- the loop's turns, with a clock and a loop set by hand ---
 
 class Loop:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -506,3 +506,11 @@
         p.hear(("joined", (i, i % 2, 1.0 + i % 7, False)))
     sizes = [len(p.kept.tables[p.kept.bound[i]]) for i in range(40)]
     assert max(sizes) <= 12 and sum(sizes) < 40 * 6
+
+
+def test_what_can_wait_is_not_ordered_behind_a_long_queue():
+    """Where the settings let 17 s of lines wait, what would be stale by its turn is decided when its turn comes."""
+    channel = Channel({"lines_per_s": 1500.0, "envelope": 3.0, "most_waiting": 26_300, "late_most_us": SECOND})
+    for waiting, free in ((900, (0, 1, 3, 4)), (1200, (1, 3, 4)), (3000, (3, 4)), (7000, (4,))):
+        channel.beyond(waiting - channel.waiting)
+        assert tuple(u for u in (0, 1, 3, 4) if channel.room(10, [1], u)) == free
