Up to 4,096 controllers may share a fleet; terms told apart 64 at most

`TERMS` (leadership/decisions.py) and the check of the operator file (operating/reading.py) stopped at 64.

Change: a term is a round times 4,096 and the member. A record with a term of the old form is still read: the next term is always above what was promised, and members below 64 draw no term that another member drew. The check takes its bound from the decisions. Test: 1,024, 1,025 and 4,096 members are taken, 4,097 refused with the bound named.

--- a/ravenshelf/leadership/decisions.py
+++ b/ravenshelf/leadership/decisions.py
@@ -21,7 +21,7 @@
 from ravenshelf.leadership.dividing import capacity, divide
 
 SECOND = 1_000_000
-TERMS = 64                  # members at most: a term is a round times this and the member, so no two share one
+TERMS = 4096                # members at most: a term is a round times this and the member, so no two share one
 NONE, PROBING, ASKING, SETTLING, OWNER, LAPSED = "none", "probing", "asking", "settling", "owner", "lapsed"
 GRANTING, KEEPING = "granting", "keeping"       # what may be ordered: all, or only what repeats what is known
 
--- a/ravenshelf/operating/reading.py
+++ b/ravenshelf/operating/reading.py
@@ -90,14 +90,15 @@
     table = operator.leadership
     if not table.name:
         return
+    from ravenshelf.leadership.decisions import TERMS
     if table.name not in table.members:
         wrong.append(f"{file}: [leadership] name: found {_shown(table.name)}, expected one of members: "
                      f"{', '.join(sorted(table.members))}")
     for name, place in table.members.items():
         if not _address(place):
             wrong.append(f"{file}: [leadership] members.{name}: found {_shown(place)}, expected host:port")
-    if len(table.members) > 64 or len(set(table.members.values())) < len(table.members):
-        wrong.append(f"{file}: [leadership] members: found {_shown(table.members)}, expected up to 64, each at an address "
+    if len(table.members) > TERMS or len(set(table.members.values())) < len(table.members):
+        wrong.append(f"{file}: [leadership] members: found {_shown(table.members)}, expected up to {TERMS}, each at an address "
                      "of its own")
     if not table.cluster:
         wrong.append(f"{file}: [leadership] cluster: found nothing, expected a name that all members share")
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -40,6 +40,17 @@
     assert str(why.value).startswith(complaint)
 
 
+@pytest.mark.parametrize("members, taken", [(1024, True), (1025, True), (4096, True), (4097, False)])
+def test_as_many_members_as_terms_can_tell_apart(members, taken):
+    said = {"leadership": {"name": "m0", "cluster": "c", "members": {f"m{n}": f"10.0.{n // 250}.{n % 250}:7000" for n in range(members)}},
+            "store": {"folder": "/tmp"}}
+    if taken:
+        assert len(check(said, "f").leadership.members) == members
+    else:
+        with pytest.raises(Wrong, match="expected up to 4096"):
+            check(said, "f")
+
+
 def test_all_that_is_wrong_is_told_at_once():
     with pytest.raises(Wrong) as why:
         check({"graphite": {"every_s": 0, "route": "some"}, "lag": {}}, "f")
