A stream the pilot ended reaches the figures too; a shard given away keeps its lines counted

Door says `left` with a second value where the pilot ended the stream; Gather._left (graphite/gather.py) took one, so with figures on it would have raised. leadership/adapter.py said `left` of proxies whose streams stay up when a shard moves, and the channel would have dropped lines that still wait.

Test: the gatherer hears a stream that the pilot ended; fails before.

--- a/ravenshelf/graphite/gather.py
+++ b/ravenshelf/graphite/gather.py
@@ -126,7 +126,7 @@
     def _joined(self, now: int, proxy: int, zone: int, usual: float, fresh: bool) -> None:
         self.proxies[proxy] = zone
 
-    def _left(self, now: int, proxy: int) -> None:
+    def _left(self, now: int, proxy: int, ended: bool = False) -> None:
         self.proxies.pop(proxy, None)
         self.drains.answered(proxy, None)
 
--- a/ravenshelf/interface.py
+++ b/ravenshelf/interface.py
@@ -10,7 +10,7 @@
 | listed | "update", "replace" or "restored", entries of (endpoint, zone, kind, cell, state, weight, start) |
 | list_failed | none: a call to discovery failed, the old list still holds |
 | joined | proxy, zone, usual flows a second, whether it holds only its standing tables |
-| left | proxy |
+| left | proxy; then True where this pilot ended its stream: what waits for it goes on counting |
 | heard | zone of the proxies, endpoint, tries, dropped, mean latency, window, load report (maybe empty) |
 | asked | proxy, traffic group, flows, flows let in without an answer, window |
 | applied | proxy, mark, time from the order to its effect |
--- a/ravenshelf/leadership/adapter.py
+++ b/ravenshelf/leadership/adapter.py
@@ -83,7 +83,7 @@
             return
         for proxy in [p for p in self.bound if shard_of(p, self.shards) == shard]:
             self.bound.discard(proxy)
-            self.news("left", (proxy,))
+            self.news("left", (proxy, True))
 
     # --- orders on their way out ---
 
@@ -165,7 +165,7 @@
             owned.gate.crowded.discard(proxy)
             owned.gate.waiting.pop(proxy, None)
             if proxy in self.bound:     # the decisions believe in an order that never left: it is bound anew
-                self.news("left", (proxy,))
+                self.news("left", (proxy, True))
                 self.news("joined", (*self.present[proxy][:3], False))
 
     def released(self) -> None:
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -90,7 +90,7 @@
     told = Told()
     told.hear("listed", "update", ((1, 0, 0, 0, "draining", 1.0, 0), (2, 1, 0, 0, "gone", 1.0, 0)))
     told.gatherer.sent(0, [Part(out=[1, 2])], 7)
-    told.hear("left", 0)
+    told.hear("left", 0, True)      # ended by the pilot: the module is told so, the figures are the same
     told.gatherer.sent(1, [Part(out=[1])], 8)
     told.hear("listed", "update", ((1, 0, 0, 0, "ready", 1.0, 0),))
     got = told.figures()
