--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -5,6 +5,7 @@
 """
 import random
 from collections import deque
+from itertools import takewhile
 from math import exp, log
 
 SECOND = 1_000_000
@@ -89,11 +90,11 @@
 
 
 class Sending:
-    """What a round ordered: lines by proxy not answered for, its place, when it may leave at the soonest."""
+    """What a round ordered: lines by proxy not answered for, place, when it may leave and must have left."""
     def __init__(self, number, at, lines, begins, soonest):
         self.number, self.at, self.lines, self.begins, self.soonest = number, at, lines, begins, soonest
-        self.total, self.answered, self.before = sum(lines.values()), 0.0, 0.0
-        self.ends = begins + self.total
+        self.total = self.rest = sum(lines.values())
+        self.ends, self.latest, self.answered, self.before = begins + self.total, 0.0, 0.0, 0.0
 
 
 class Channel:
@@ -106,23 +107,17 @@
         self.pace = self.usual = max(1.0, service.get("lines_per_s") or 1e9)
         self.head, self.most = service.get("envelope", 6.0), service.get("most_waiting") or 1e9
         self.messages, self.over = service.get("messages_most", 0), service.get("counted_over_us", 10**7)
-        self.late_most = service.get("late_most_us", SECOND)
-        # until what nobody answers for has passed, however slow the channel; an end must come where none can
-        self.unheard = self.late_most + max(UNHEARD, SLOWEST * self.most / self.usual * SECOND)
+        self.late_most, self.slowest = service.get("late_most_us", SECOND), SLOWEST / self.usual * SECOND
         self.waiting, self.at, self.sent, self.round, self.number = 0.0, 0, {}, {}, 0
         self.open, self.total, self.placed = deque(), 0.0, 0.0  # not proved to have left; their lines; places
-        self.free, self.asked = 0.0, 0.0        # when all may be through at the soonest; lines of this round
+        self.free, self.latest, self.asked = 0.0, 0.0, 0.0  # all through at the soonest, latest; this round's
         self.marks, self.proofs = {}, []        # number: its sending; what answers prove: (number, place)
 
     def drain(self, now):
         # time takes lines out at the believed pace, but none that should be answered for and is not
         self.waiting, self.at = max(0.0, self.waiting - self.pace * (now - self.at) / SECOND), now
         self.prove()
-        old, before = 0.0, now - self.late_most
-        for sending in self.open:
-            if sending.at > before:
-                break
-            old += sending.total
+        old = sum(s.total for s in takewhile(lambda s: s.at <= now - self.late_most, self.open))
         self.waiting = max(self.waiting, old - self.open[0].answered if old else 0.0)
 
     def unproved(self):
@@ -133,7 +128,7 @@
         """Takes out, oldest first, what is proved to have left."""
         while self.open:
             first = self.open[0]
-            if (first.answered < first.ends - first.begins and first.at >= self.at - self.unheard
+            if (first.answered < first.ends - first.begins and first.latest >= self.at - self.late_most
                     and not any(n > first.number and place >= first.ends for n, place in self.proofs)):
                 break
             self.total -= first.total
@@ -146,8 +141,8 @@
         """Whether so many lines to each of these proxies fit; the ordinary leaves half to the urgent."""
         heads = sum(p not in self.round for p in proxies)
         asked = self.asked + len(proxies) * lines + heads * (self.head + 1)
-        if (self.waiting > self.usual * WAITS[urgent]       # it is decided anew when its turn comes
-                or self.waiting + asked > self.most * (0.45, 0.65, 0.65, 0.75, 0.88)[urgent]   # no join starves
+        if (self.waiting > self.usual * WAITS[urgent]       # decided anew in its turn; no join starves
+                or self.waiting + asked > self.most * (0.45, 0.65, 0.65, 0.75, 0.88)[urgent]
                 or self.unproved() + asked > self.most * (0.85, 0.85, 0.85, 0.9, 0.95)[urgent]):
             return False
         few = round(self.messages * (0.6, 0.7, 0.8, 0.8, 1.0)[urgent]) or 1e9   # the last for withdrawals
@@ -177,9 +172,11 @@
         if not lines:
             return
         self.number += 1        # a mark is given again only when its first round is long answered for
-        self.free = max(self.free, now)
+        self.free, self.latest = max(self.free, now), max(self.latest, now)
         sending = Sending(self.number, now, lines, self.placed, self.free)
         self.free += sending.total * SECOND / self.usual
+        self.latest += sending.total * self.slowest     # where no answer comes an end must
+        sending.latest = max(self.latest, now + UNHEARD)
         if orders is not None:
             orders.mark((self.number - 1) % MARKS + 1)
             self.marks[self.number] = sending
@@ -196,7 +193,9 @@
         sending = self.marks.get(self.number - (self.number - mark) % MARKS)
         if sending is None:
             return
-        sending.answered += sending.lines.pop(proxy, 0)
+        lines = sending.lines.pop(proxy, 0)
+        sending.answered, sending.rest = sending.answered + lines, sending.rest - lines
+        sending.latest = min(sending.latest, self.at + sending.rest * self.slowest)   # an answer may get lost
         if not any(n >= sending.number and place >= sending.begins for n, place in self.proofs):
             self.proofs = [p for p in self.proofs if p[0] > sending.number or p[1] > sending.begins]
             self.proofs.append((sending.number, sending.begins))
@@ -215,6 +214,7 @@
         for sending in self.open:
             if lines := sending.lines.pop(proxy, 0):
                 self.placed, self.free = self.placed - lines, self.free - lines * SECOND / self.usual
+                sending.rest -= lines
                 if sending.soonest > self.at:
                     sending.total, self.total = sending.total - lines, self.total - lines
         self.prove()
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -130,6 +130,44 @@
     raise AssertionError("no schedule broke")
 
 
+def ordered(channel, proxies, lines=20):
+    channel.charge(proxies, lines)
+    channel.settle(channel.at, type("Marks", (), {"mark": lambda self, number: None})())
+    return channel.number
+
+
+def test_one_lost_answer_does_not_keep_all_that_was_ordered_later_waiting():
+    """South-delivery, join, seed 11: streams broke, one answer was spoilt, 11,132 lines counted as waiting for 20 s."""
+    channel = Channel(SETTINGS)
+    first = ordered(channel, range(100))
+    for proxy in range(40, 90):     # what they had waiting makes room for what comes next
+        channel.left(proxy)
+    second = ordered(channel, range(200, 400), 2)
+    now = 4 * SECOND
+    channel.drain(now)
+    for mark, proxies in (first, [*range(39), *range(90, 100)]), (second, range(200, 400)):
+        for proxy in proxies:       # all but one of the first
+            channel.applied(proxy, mark, SECOND)
+    assert channel.unproved() > 1000    # the last of it may lie behind what was answered for
+    channel.drain(now + SETTINGS["late_most_us"] + 24 * SECOND // 150 + 1)
+    assert channel.unproved() == channel.waiting == 0
+
+
+def test_what_nobody_answers_for_waits_as_long_as_the_slowest_channel_takes():
+    channel = Channel(SETTINGS)
+    ordered(channel, range(2), 7)       # 22 lines: at a tenth of the pace they pass in 150 ms
+    channel.drain(20 * SECOND)
+    assert channel.unproved() == 22     # yet nothing is taken for gone before 20 s
+    channel.drain(21 * SECOND + 1)
+    assert not channel.unproved()
+    ordered(channel, range(300), 96)    # 30,000 lines take 200 s
+    began = channel.at
+    channel.drain(began + 190 * SECOND)
+    assert channel.unproved() == 30_000
+    channel.drain(began + 202 * SECOND)
+    assert not channel.unproved()
+
+
 def test_what_is_dropped_with_a_stream_counts_until_it_is_sure_not_to_have_left():
     channel = Channel(SETTINGS)
     channel.charge([1, 2], 96)
