--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -3,7 +3,7 @@
 import random
 from bisect import insort
 from collections import defaultdict, deque
-from itertools import takewhile
+from itertools import accumulate, count, takewhile
 from math import exp, log
 
 SECOND = 1_000_000
@@ -27,7 +27,7 @@
 NOTICED_SPAN, CROWDED, CROWDED_MOST = 20 * SECOND, 0.2, 0.5     # of machines: memory; excess; most loss
 WAITS = (0.7, 1.5, 1.5, 4.0, 1e9)           # seconds of queue behind which an order is stale, by urgency
 MARKS, SLOWEST, UNHEARD = 65_535, 10, 20 * SECOND   # of the wire; usual pace over slowest; passed unanswered
-SLACK, BLIND = 0.2, 0.25                    # of a part, over its due; of a cold share, while no flow is known
+SLACK, LENT_LEAST, BLIND = 0.2, 0.02, 0.25  # of a part: over its due, lent; cold while no flow is known
 
 
 class Decaying:
@@ -81,10 +81,12 @@
 
 
 class Sending:
-    """What a round ordered: lines by proxy not answered for, place, when it may leave and must have left."""
+    """What a round ordered: lines by proxy not answered for, place, when it may and must have left."""
     def __init__(self, number, at, lines, begins, soonest):
         self.number, self.at, self.lines, self.begins, self.soonest = number, at, lines, begins, soonest
-        self.total = self.rest = sum(lines.values())
+        self.total = sum(lines.values())
+        # lines behind each: once it is answered for they can't be long in coming, though answers get lost
+        self.after = {p: self.total - n for p, n in zip(lines, accumulate(lines.values()))}
         self.ends, self.latest, self.answered, self.before = begins + self.total, 0.0, 0.0, 0.0
 
 
@@ -93,7 +95,7 @@
 
     A message waits until it and all before it have left. What waits for a stream that breaks is dropped; what
     is ordered later leaves sooner by that, maybe before what is older. So an answer proves only what lies
-    before it both in order and by its place, which is the lines ever ordered less those dropped."""
+    before it both in order and by its place: lines ever ordered, less those dropped as if at the slowest."""
     def __init__(self, service):
         self.pace = self.usual = max(1.0, service.get("lines_per_s") or 1e9)
         self.head, self.most = service.get("envelope", 6.0), service.get("most_waiting") or 1e9
@@ -103,6 +105,7 @@
         self.open, self.total, self.placed = deque(), 0.0, 0.0  # not proved to have left; their lines; places
         self.free, self.latest, self.asked = 0.0, 0.0, 0.0  # all through at the soonest, latest; this round's
         self.marks, self.proofs = {}, []        # number: its sending; what answers prove: (number, place)
+        self.came, self.turns = defaultdict(int), count()   # proxies are written to as they joined
 
     def drain(self, now):
         # time takes lines out at the believed pace, but none that should be answered for and is not
@@ -111,8 +114,7 @@
         old = sum(s.total for s in takewhile(lambda s: s.at <= now - self.late_most, self.open))
         self.waiting = max(self.waiting, old - self.open[0].answered if old else 0.0)
 
-    def unproved(self):
-        """Lines that may wait, whatever the pace; of the oldest sending, what is answered for has left."""
+    def unproved(self):     # lines that may wait whatever the pace; of the oldest, not those answered for
         return self.total - self.open[0].answered if self.open else 0.0
 
     def prove(self):
@@ -124,15 +126,17 @@
                 break
             self.total -= first.total
             self.open.popleft()
+            if self.open:       # whose turn has come
+                following = self.at + (self.open[0].ends - self.open[0].begins) * self.slowest
+                self.open[0].latest = min(self.open[0].latest, following)
             self.marks.pop(first.number, None)
         self.proofs = [p for p in self.proofs if self.open and p[0] > self.open[0].number]
         self.waiting = min(self.waiting, self.unproved())
 
-    def room(self, lines, proxies, urgent):
-        """Whether so many lines to each of these proxies fit; the ordinary leaves half to the urgent."""
+    def room(self, lines, proxies, urgent):     # whether so many to each of them fit; half is the urgent's
         heads = sum(p not in self.round for p in proxies)
         asked = self.asked + len(proxies) * lines + heads * (self.head + 1)
-        if (self.waiting > self.usual * WAITS[urgent]       # decided anew in its turn; no join starves
+        if (self.waiting + self.asked > self.usual * WAITS[urgent]  # decided anew in turn; no join starves
                 or self.waiting + asked > self.most * (0.45, 0.65, 0.65, 0.75, 0.88)[urgent]
                 or self.unproved() + asked > self.most * (0.85, 0.85, 0.85, 0.9, 0.95)[urgent]):
             return False
@@ -148,25 +152,23 @@
     def charge(self, proxies, lines):
         for p in proxies:
             self.asked += lines + (0 if p in self.round else self.head + 1)
-            self.round[p] = self.round.get(p, 0) + lines
+            self.round[p] = self.round.get(p, self.head + 1) + lines
 
-    def drop(self):
-        """What a round charged that will not be ordered."""
+    def drop(self):     # what a round charged that will not be ordered
         self.round, self.asked = {}, 0.0
 
-    def beyond(self, lines):
-        """Lines that were written and not charged count as well, answered for by nobody."""
+    def beyond(self, lines):    # what was written and not charged counts as well, answered for by nobody
         self.settle(self.at, None, {None: lines})
 
     def settle(self, now, orders, lines=None):
-        lines = lines or {p: n + self.head + 1 for p, n in self.round.items()}
+        lines = lines or {p: self.round[p] for p in sorted(self.round, key=self.came.__getitem__)}
         if not lines:
             return
         self.number += 1        # a mark is given again only when its first round is long answered for
         self.free, self.latest = max(self.free, now), max(self.latest, now)
         sending = Sending(self.number, now, lines, self.placed, self.free)
         self.free += sending.total * SECOND / self.usual
-        self.latest += sending.total * self.slowest     # where no answer comes an end must
+        self.latest = min(self.latest + sending.total * self.slowest, now + self.most * self.slowest)
         sending.latest = max(self.latest, now + UNHEARD)
         if orders is not None:
             orders.mark((self.number - 1) % MARKS + 1)
@@ -184,9 +186,8 @@
         sending = self.marks.get(self.number - (self.number - mark) % MARKS)
         if sending is None:
             return
-        lines = sending.lines.pop(proxy, 0)
-        sending.answered, sending.rest = sending.answered + lines, sending.rest - lines
-        sending.latest = min(sending.latest, self.at + sending.rest * self.slowest)   # an answer may get lost
+        sending.answered += sending.lines.pop(proxy, 0)
+        sending.latest = min(sending.latest, self.at + sending.after.get(proxy, sending.ends) * self.slowest)
         if not any(n >= sending.number and place >= sending.begins for n, place in self.proofs):
             self.proofs = [p for p in self.proofs if p[0] > sending.number or p[1] > sending.begins]
             self.proofs.append((sending.number, sending.begins))
@@ -204,8 +205,7 @@
         self.sent.pop(proxy, None)
         for sending in self.open:
             if lines := sending.lines.pop(proxy, 0):
-                self.placed, self.free = self.placed - lines, self.free - lines * SECOND / self.usual
-                sending.rest -= lines
+                self.placed, self.free = self.placed - lines * SLOWEST, self.free - lines * self.slowest
                 if sending.soonest > self.at:
                     sending.total, self.total = sending.total - lines, self.total - lines
         self.prove()
@@ -334,12 +334,12 @@
         rows.append([min(need, spare[own]) if own == b else 0.0 for b in range(len(spare))])
         spare[own] -= rows[own][own]
     for row, need in zip(rows, needs):
-        while need - sum(row) > 1e-9:
+        while need - sum(row) > LENT_LEAST * need:      # for less no line of another part is worth its room
             b = max(range(len(spare)), key=spare.__getitem__)
             more = min(need - sum(row), max(spare[b], 1e-6))
             row[b], spare[b] = row[b] + more, spare[b] - more
     even = [s / sum(strengths) for s in strengths]
-    return [[x / need for x in row] if need else even for row, need in zip(rows, needs)]
+    return [[x / sum(row) for x in row] if need else even for row, need in zip(rows, needs)]
 
 
 def median(values, default=None):
@@ -398,7 +398,7 @@
         self.left(proxy, True)
         self.proxies[proxy] = Proxy(min(zone, self.zones - 1), usual, len(self.groups))
         self.users[None][proxy] = None
-        self.channel.sent.pop(proxy, None)
+        self.channel.sent[proxy], self.channel.came[proxy] = deque(), next(self.channel.turns)
 
     def left(self, proxy, ended=False):
         """What waits for a stream that this pilot ended itself stays counted."""
