A long round leaves the sockets their time only while connections come

Change: the delay is kept for what it guards against, rounds in whose time a connection was accepted; where none comes, news no longer waits for a round's length. Test: rounds of 30 ms come 60 ms apart while connections come, 30 ms apart where none does; the second fails on the text before.

--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -74,6 +74,7 @@
         self.tap = None             # hears all that the module hears, where figures are sent
         self.gate = None            # keeps from it what is other controllers', where several share the fleet
         self.ready, self.last_round, self.round_at, self.stopped = False, 0, 0, loop.create_future()
+        self.came = 0               # connections accepted until the last round
 
     # --- deadlines and rounds ---
 
@@ -159,10 +160,11 @@
             self.round_at = now + AFTER_FAILURE
             self.deadlines.set(("round",), self.round_at)
         took = (time.perf_counter_ns() - began) // 1000
-        # as long again belongs to the sockets: the loop takes one connection a turn, and hundreds may come at once;
-        # with a round between each two, proxies waited 6 s to join. Harm: news waits for a round's length longer
-        end = self.clock()
-        self.last_round = max(now, 2 * end - now - self.tick)
+        # as long again belongs to the sockets while connections come: the loop takes one a turn, and hundreds may come at
+        # once; with a round between each two, proxies waited 6 s to join. Harm: news waits for a round's length longer
+        came, self.came = self.came, self.counters["accepted"]
+        if came != self.came:
+            self.last_round = max(now, 2 * self.clock() - now - self.tick)
         self.counters.most("round_most_us", took)
         if self.tap is not None:
             self.tap.played(late, took)
