Where all of a zone is cold each keeps its line: none is left alone with the zone

Traced each half second at n2: 21.64 top=[(14.5, 's-', ramp 0.46)...] cold=67, 22.64 cold=1 top=[(58.0, 's-', ramp 0.51)]: the zone's tables held this one alone. Controller.strengths takes the line of an endpoint below half of its ramp where the middle of the zone's warm ones is under 0.6; with none warm each was held against itself, and the first past half had all. Ruled out: the ramp, several pilots adding up.

Change: the exclusion stands only where the zone has warm endpoints. Test: both of a cold, failing zone keep lines all the way; fails on the text before.

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -482,12 +482,12 @@
             took, middle = mean.get(e) or kin.get(e.kind), usual[e.zone]
             pace = middle / took if took and middle else 1.0
             known[e] = e.fade(self.now) * min(PACE_MOST, max(PACE_LEAST, pace))
-        for e, part in [x for z in range(self.zones) for x in self.crowding(z).items()]:
-            known[e] *= part
+        known.update((e, known[e] * part) for z in range(self.zones) for e, part in self.crowding(z).items())
         warm = [[v for e, v in known.items() if e.zone == z and self.ramp(e) == 1] for z in range(self.zones)]
         for e, v in known.items():      # one of which little was heard is not the best of a failing zone
             ramp, most = self.ramp(e), median(warm[e.zone], v)      # proxies that shun the rest would fell it
-            if ramp > LUKEWARM or most > FAILING or not self.service.get("outlier_after"):
+            spared = warm[e.zone] and most <= FAILING and self.service.get("outlier_after")    # else all cold
+            if ramp > LUKEWARM or not spared:
                 out[e.zone][e.index] = e.weight * ramp * (v if ramp == 1 else min(v, most))
         return out
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -386,6 +386,15 @@
     assert least <= p.load(0) <= most and not p.kept.emptied
 
 
+def test_the_first_of_a_failing_zone_that_is_half_warm_is_not_left_alone_with_it(pilot):
+    """bahir-dar-credit, zone, seed 21: all of a zone came back cold and failed; the first past half of its ramp got all."""
+    p = pilot("rrrr", service={"outlier_after": 3})
+    p.hear(("listed", ("update", tuple((i, 0, 0, 0, "ready", 4.0, p.now - (6 - 5 * i) * SECOND) for i in (0, 1)))))
+    for _ in range(16):
+        p.run(1, lambda s: [met(0, i, dropped=14) for i in (0, 1)])
+        assert 0 < p.load(0) < 6 * p.load(1)
+
+
 def test_while_no_flow_is_known_a_cold_endpoint_gets_little(pilot):
     p = pilot()
     p.hear(met(0, 1, tries=2))
