--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -189,6 +189,27 @@
     assert sorted(service.listing.entries) == [0, 1]
 
 
+def test_an_endpoint_listed_twice_counts_once_as_it_was_said_last(service):
+    service.discovery.fetch()
+    service.calls[-1].answers(6, target("s-1", az="a"), target("s-2"), target("s-1", az="b", state="DRAINING"))
+    assert {index: (entry[1], entry[4]) for index, entry in service.listing.entries.items()} == {
+        0: (1, "draining"), 1: (0, "ready")}
+    assert service.told[-1][1][1] == [(0, "draining"), (1, "ready")]
+
+
+def test_a_list_that_goes_back_changes_nothing_and_is_an_answer(service):
+    service.discovery.fetch()
+    service.calls[-1].answers(4, target("s-2"))
+    assert sorted(service.listing.entries) == [0] and service.listing.rev == 5 and service.counters["lists_old"] == 1
+    assert service.told == [("listed", ("update", []))]
+
+
+def test_a_change_of_what_was_never_listed_is_taken_and_its_end_forgotten(service):
+    service.discovery.begin()
+    service.calls[-1].says(6, target("s-9", state="DELETED"), target("s-2", boot_ms=4e12))     # gone; starts in the future
+    assert [e[4] for e in service.listing.entries.values()] == ["ready", "ready"] and not service.counters["list_entries_broken"]
+
+
 def test_a_pushed_list_is_watched_by_the_pilot_itself():
     service = Service(pushed=True)
     service.discovery.observe(True)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -627,3 +627,11 @@
     assert not p.controller.ask_again
     p.hear(("list_failed", ()))
     assert p.controller.ask_again - p.now <= SECOND
+
+
+def test_a_start_in_the_future_is_cold_until_then_and_breaks_nothing(pilot):
+    p = pilot()
+    p.run(5, lambda s: [met(i // 2, i) for i in range(4)])
+    p.hear(("listed", ("update", ((0, 0, 0, 0, "ready", 4.0, p.now + 3600 * SECOND),))))
+    p.run(5, lambda s: [met(i // 2, i) for i in range(4)])
+    assert 0 < p.load(0) < p.load(1) and not p.kept.emptied
