--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,6 +6,7 @@
 answer is follows the load by one plain curve. It is no simulator: nothing here says how well a day would go.
 """
 import heapq
+import itertools
 import random
 from collections import defaultdict, deque
 from typing import Callable
@@ -154,7 +155,7 @@
     def __init__(self, pilots: int = 5, zones: int = 3, servers: int = 6, proxies: int = 10, flows: float = 10.0,
                  load: float = 0.5, seed: int = 1, calls_a_second: float = 4.0, **changes):
         """`servers` and `proxies` are those of a zone; `load` is the share of all capacity that flows ask for."""
-        self.chance, self.now, self.rev, self.ends = random.Random(seed), 1000 * SECOND, 0, []
+        self.chance, self.now, self.rev, self.turns = random.Random(seed), 1000 * SECOND, 0, itertools.count()
         self.events: list[tuple[int, int, Callable]] = []
         self.lines: dict[int, int] = {}
         capacity = proxies * flows / servers / load
@@ -178,8 +179,7 @@
     # --- what a script does ---
 
     def later(self, after: int, what: Callable) -> None:
-        heapq.heappush(self.events, (self.now + after, len(self.ends), what))
-        self.ends.append(None)
+        heapq.heappush(self.events, (self.now + after, next(self.turns), what))
 
     def living(self) -> list[Pilot]:
         return [p for p in self.pilots if p.alive]
