A deadline belongs to its thing, not to a number that may be another's in the same turn

Seen: a test that has a round ask anew in the turn in which the old call was due (an observe every 5 s and ANSWER_BY fall together) ended the new call at once: log "discovery's watch said nothing until its deadline", 0 s after it was opened, and the module waited its next turn with no watch open.

Lines at fault: Pilot.turn took all due keys out of Deadlines first; Pilot.meet looked the call up by the slot number in its key (`self.calls.get(key[1])`), and Slots gives the lowest free number again at once; Door.silent did the same for connections. Ruled out: Slots (a number given back is free, as it says), Deadlines.drop (the key was already out of the table when it was dropped).

Change: keys carry the call or the connection itself, and each due key is taken out as its turn comes, so that one's turn can drop or move another's.

Measured: both new tests fail without the change (2 failed) and pass with it; 855 tests pass.

--- a/ravenshelf/memory/deadlines.py
+++ b/ravenshelf/memory/deadlines.py
@@ -1,6 +1,6 @@
 """The one ordered structure in which all deadlines hang."""
 import heapq
-from typing import Hashable
+from typing import Hashable, Iterator
 
 
 class Deadlines:
@@ -26,11 +26,14 @@
             heapq.heappop(self.heap)
         return self.heap[0][0] if self.heap else None
 
-    def due(self, now: int) -> list[Hashable]:
-        """Takes out what is due, earliest first; what is set meanwhile waits for the next call."""
-        keys = []
+    def due(self, now: int) -> Iterator[Hashable]:
+        """What is due, earliest first, each taken out as its turn comes; what is set meanwhile waits for the next call.
+
+        One key's turn may drop or move another that was due with it: then that one is not met."""
+        batch = []
         while (at := self.next()) is not None and at <= now:
-            key = heapq.heappop(self.heap)[2]
-            del self.at[key]
-            keys.append(key)
-        return keys
+            batch.append(heapq.heappop(self.heap))
+        for at, number, key in batch:
+            if self.at.get(key) == (at, number):
+                del self.at[key]
+                yield key
--- a/ravenshelf/process/door.py
+++ b/ravenshelf/process/door.py
@@ -41,7 +41,7 @@
             connection.close(End.CROWDED)
             return
         self.strangers[connection] = None
-        self.set_deadline(("silent", connection.slot), connection.since + JOIN_BY)
+        self.set_deadline(("silent", connection), connection.since + JOIN_BY)
 
     def _make_room(self, now: int) -> None:
         """One that is followed goes first, then the oldest stranger, but not one that may be about to join."""
@@ -53,13 +53,13 @@
     def _spoke(self, connection: Accepted) -> None:
         self.followed.pop(connection, None)
         self.followed[connection] = None
-        self.set_deadline(("silent", connection.slot), self.clock() + SILENCE)
+        self.set_deadline(("silent", connection), self.clock() + SILENCE)
 
     def _known(self, connection: Accepted, purpose: str) -> None:
         connection.purpose, connection.followed = purpose, False
         self.strangers.pop(connection, None)
         self.followed.pop(connection, None)
-        self.deadlines.drop(("silent", connection.slot))
+        self.deadlines.drop(("silent", connection))
 
     def _followed(self, connection: Accepted) -> None:
         """A newer one has come in its place; it stays while it speaks, for the pilot ends nothing without need."""
@@ -67,16 +67,14 @@
         self.counters[f"{connection.purpose}_followed"] += 1
         self._spoke(connection)
 
-    def silent(self, slot: int) -> None:
-        connection = self.slots.get(slot)
-        if connection is not None:
-            connection.close(End.SILENT)
+    def silent(self, connection: Accepted) -> None:
+        connection.close(End.SILENT)
 
     def gone(self, connection: Accepted) -> None:
         self.counters[f"{connection.purpose}_{connection.end.name.lower()}"] += 1
         self.strangers.pop(connection, None)
         self.followed.pop(connection, None)
-        self.deadlines.drop(("silent", connection.slot))
+        self.deadlines.drop(("silent", connection))
         self.slots.give_back(connection.slot)
         self.collectors = {zone: c for zone, c in self.collectors.items() if c is not connection}
         if connection.purpose == STREAM and self.streams.get(connection.proxy) is connection:
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -99,26 +99,30 @@
             self.timer_at, self.timer = None, self.loop.call_later(READ_FIRST, self.turn)
             return
         self.timer = self.timer_at = None
-        due = self.deadlines.due(now)
-        if self.operations is not None:     # what is beside table lines comes after them
-            due.sort(key=lambda key: key[0] in self.operations.KEYS)
-        for key in due:
-            try:
-                self.meet(key, now)
-            except Exception:       # one that fails must not take the others' turn, nor the next
-                self.counters["deadlines_failed"] += 1
-                events.DEADLINE_FAILED.raised(key=str(key))
+        beside = []
+        for key in self.deadlines.due(now):
+            if self.operations is not None and key[0] in self.operations.KEYS:
+                beside.append(key)      # what is beside table lines comes after them
+            else:
+                self._try_to_meet(key, now)
+        for key in beside:
+            self._try_to_meet(key, now)
         self.arm()
 
+    def _try_to_meet(self, key: tuple, now: int) -> None:
+        try:
+            self.meet(key, now)
+        except Exception:       # one that fails must not take the others' turn, nor the next
+            self.counters["deadlines_failed"] += 1
+            events.DEADLINE_FAILED.raised(key=str(key))
+
     def meet(self, key: tuple, now: int) -> None:
         if key[0] == "wake":
             self.news("woken", (key[2],))
         elif key[0] == "silent":
             self.door.silent(key[1])
         elif key[0] == "call":
-            call = self.calls.get(key[1])
-            if call is not None:
-                call.close(End.SILENT)
+            key[1].close(End.SILENT)
         elif key[0] == "watch":
             if self.discovery.watch is None:
                 self.discovery.begin()
@@ -191,7 +195,7 @@
     def open_call(self, purpose: str, path: str, done: Callable, piece: Callable | None, by: int,
                   host: str | None = None) -> Call:
         def ended(call: Call) -> None:
-            self.deadlines.drop(("call", call.slot))
+            self.deadlines.drop(("call", call))     # the call itself: its number may be another's by then
             self.calls.give_back(call.slot)
             done(call)
 
@@ -200,13 +204,13 @@
         if call.slot is None:
             self.loop.call_soon(call.close, End.CROWDED)
         else:
-            self.set_deadline(("call", call.slot), self.clock() + by)
+            self.set_deadline(("call", call), self.clock() + by)
             call.dial(self.loop)
         return call
 
     def extend(self, call: Call, time: int) -> None:
         if call.slot is not None and call.end is None:
-            self.deadlines.set(("call", call.slot), self.clock() + time)
+            self.deadlines.set(("call", call), self.clock() + time)
 
     def told(self, peer: int | None, data: bytes) -> None:
         if peer is None:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -28,8 +28,22 @@
         deadlines.set(n, 500 - n)
     deadlines.drop(3)
     assert deadlines.next() == 481 and len(deadlines.heap) < 200
-    assert deadlines.due(490) == [19, 18, 17, 16, 15, 14, 13, 12, 11, 10]
-    assert deadlines.due(10_000) == [9, 8, 7, 6, 5, 4, 2, 1, 0] and deadlines.next() is None
+    assert list(deadlines.due(490)) == [19, 18, 17, 16, 15, 14, 13, 12, 11, 10]
+    assert list(deadlines.due(10_000)) == [9, 8, 7, 6, 5, 4, 2, 1, 0] and deadlines.next() is None
+
+
+def test_a_deadline_dropped_or_moved_by_one_due_with_it_is_not_met():
+    deadlines = Deadlines()
+    for n in range(4):
+        deadlines.set(n, 10 + n)
+    met = []
+    for key in deadlines.due(20):
+        met.append(key)
+        if key == 0:
+            deadlines.drop(1)
+            deadlines.set(2, 30)
+            deadlines.set("new", 5)     # set meanwhile: it waits for the next call, past as it is
+    assert met == [0, 3] and list(deadlines.due(20)) == ["new"] and list(deadlines.due(30)) == [2]
 
 
 def test_buffers_have_one_size_and_are_used_again():
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -477,6 +477,22 @@
     assert pilot.counters["messages_sent"] == messages and pilot.configuration["limits"] == GOOD["limits"]
 
 
+def test_an_old_deadline_ends_no_new_call_that_took_its_number(begun):
+    """The round asks anew in the same turn in which the old call was due: the new one has the old one's slot."""
+    pilot, loop = begun
+    loop.play(1)
+    pilot.discovery.observe(True)
+    old, asked = pilot.discovery.watch, []
+    pilot.rounds.controller.round = lambda now, news, orders: asked or asked.append(orders.observe(True))
+    pilot.extend(old, 10_000)
+    pilot.set_deadline(("round",), loop.now + 9_000)
+    loop.play(0.1, late=0.05)
+    new = pilot.discovery.watch
+    assert new is not old and old.end is End.SUPERSEDED and (new.slot, new.end) == (old.slot, None)
+    loop.play(10)
+    assert new.end is End.SILENT        # its own deadline holds
+
+
 @pytest.mark.parametrize("late, spoke, end", [(6.0, True, None), (6.0, False, End.SILENT), (0.0, False, End.SILENT)])
 def test_a_pilot_that_stood_still_reads_before_it_takes_others_for_silent(begun, late, spoke, end):
     pilot, loop = begun
@@ -485,7 +501,7 @@
     loop.waiting.clear()
     pilot.timer = None
     pilot.deadlines.heap, pilot.deadlines.at = [], {}
-    pilot.set_deadline(("call", call.slot), loop.now + SECOND)
+    pilot.set_deadline(("call", call), loop.now + SECOND)
     if spoke:       # its line lay in the socket while the process stood still
         loop.waiting.append((loop.now + SECOND + 1, lambda: pilot.extend(call, 5 * SECOND)))
     loop.play(2 + late, late=late)
