A watch at a former address is heard until the new one's list; no list leaves the pilot without a watch

Ruled out: Listing.take (right for one address), the module's 5 s (it asks whenever nothing came).

Change: `observe(True)` leaves the former alone; a move keeps the watch that speaks; a new address is asked for all (`after=0`) until a list has come, and only that lets the former go; a fetch of an address that was left is no answer; where the module may not ask, the pilot begins a watch within a second, at a time of its own (before: a fixed second for all pilots where lists are pushed).

--- a/ravenshelf/process/discovery.py
+++ b/ravenshelf/process/discovery.py
@@ -1,4 +1,5 @@
 """Discovery as the pilot asks it: one answer for each call, changes while a watch lasts, its end told once."""
+import random
 from typing import Callable
 
 from ravenshelf import events
@@ -11,36 +12,44 @@
 LIST = "/catalog/members"
 ANSWER_BY = 5_000_000       # a call that is not answered by then has failed
 SILENCE = 5_000_000         # an open watch says something every 2 s
-AGAIN = 1_000_000           # after this a watch that the pilot keeps by itself is begun anew
+AGAIN = 1_000_000           # within this a watch that the module does not ask for is begun anew, not by all at one time
 
 
 class Discovery:
     """`open_call(purpose, path, done, piece, by)` dials; `news(name, values)` tells the module."""
 
     def __init__(self, listing: Listing, catalog: Catalog, counters: Counters, open_call: Callable,
-                 news: Callable, pushed: bool):
+                 news: Callable, pushed: bool, chance: random.Random):
         self.listing, self.catalog, self.counters = listing, catalog, counters
-        self.open_call, self.news, self.pushed = open_call, news, pushed
+        self.open_call, self.news, self.pushed, self.chance = open_call, news, pushed, chance
+        self.wanted = pushed                # whether there is to be a watch
         self.watch: Call | None = None
         self.former: Call | None = None     # at the address left behind, heard until the new one answers
+        self.moves = 0
         self.moved = False                  # whether the address is new: its versions may be others
-        self.answered, self.after, self.again = False, 0, None
+        self.answered, self.after = False, 0
         self.extend: Callable = lambda call, time: None
         self.later: Callable = lambda time: None
 
     # --- what the module asks for ---
 
     def observe(self, on: bool) -> None:
+        """A new watch takes the place of one that may not have answered; one at a former address is heard on."""
         if self.pushed:
             return
-        self.end_watch()
+        self.wanted = on
+        self._end_watch()
         if on:
             self.begin()
+        else:
+            self._leave_former()
 
     def move(self) -> None:
-        """Discovery has another address. What is open at the old one is heard until the new one answers."""
-        self.moved = True
-        if self.watch is not None:
+        """Discovery has another address. The watch that speaks is heard until one at the new address answers."""
+        self.moved, self.moves = True, self.moves + 1
+        if self.watch is not None and self.former is not None and not self.answered:
+            self._end_watch()       # at an address between, that never spoke
+        elif self.watch is not None:
             self._leave_former()
             self.former, self.watch = self.watch, None
         self.begin()
@@ -51,34 +60,42 @@
             former.close(End.SUPERSEDED)
 
     def begin(self) -> None:
+        """Versions count at the address that gave them: a new one is asked for all it has."""
         self.counters["discovery_watches"] += 1
-        self.answered, self.after = False, self.listing.rev
-        path = f"{LIST}?watch=1&after={self.listing.rev}"
+        self.answered, self.after = False, 0 if self.moved else self.listing.rev
+        path = f"{LIST}?watch=1&after={self.after}"
         self.watch = self.open_call(WATCH, path, self._watch_ended, self._watch_said, ANSWER_BY)
 
-    def end_watch(self) -> None:
-        self._leave_former()
+    def begin_if_due(self) -> None:
+        if self.watch is None and self.wanted:
+            self.begin()
+
+    def _end_watch(self) -> None:
         watch, self.watch = self.watch, None
         if watch is not None:
             watch.close(End.SUPERSEDED)
 
+    def _see_to_it(self) -> None:
+        """Has a watch begun where the module may not ask: where lists are pushed, or come from elsewhere meanwhile.
+
+        Guards against a list that never speaks again: any list is an answer to the module, which asks no more then."""
+        if self.watch is None and self.wanted:
+            self.later(round(AGAIN * self.chance.uniform(0.5, 1)))
+
     def fetch(self) -> None:
         self.counters["discovery_fetches"] += 1
-        self.open_call(FETCH, LIST, self._fetched, None, ANSWER_BY)
+        moves = self.moves
+        self.open_call(FETCH, LIST, lambda call: self._fetched(call, moves), None, ANSWER_BY)
 
     # --- what comes back ---
 
     def _watch_said(self, call: Call, line: bytes) -> None:
-        if call is self.watch:
-            self._leave_former()
-        elif call is not self.former:
+        if call is not self.watch and call is not self.former:
             return
         self.extend(call, SILENCE)
-        if not line:
-            self.moved = self.moved and call is not self.watch
-            if not self.answered:       # nothing has changed since the version we hold
-                self.answered = True
-                self.news("listed", ("update", ()))
+        if not line:        # nothing has changed since the version we hold, or at a new address: its list is to come
+            if not self.moved:
+                self._answers(call)
             return
         try:
             said = self.catalog.read(line)
@@ -88,23 +105,27 @@
             return
         changes = not said.get("all", False)
         if call is self.watch and self.moved:
-            self.moved = False
-            if said["rev"] < self.listing.rev:      # versions of its own: only its whole list tells where it stands
-                self.listing.rev = self.after = 0
-                if changes:
-                    call.close(End.UNREADABLE)
-                    return
+            self.moved = changes and said["rev"] < self.listing.rev
+            self.listing.rev = self.after = 0       # versions of its own, which only by chance are as high as ours
+            if self.moved:      # only its whole list tells where it stands
+                call.close(End.UNREADABLE)
+                return
         taken = self._take(said, "update" if changes else "replace", self.after if changes else None)
         if taken == "gap":
             self.counters["discovery_gaps"] += 1
             call.close(End.UNREADABLE)
             return
         self.after = max(self.after, said["rev"])
-        if taken is not None:
-            self.news("listed", taken)
-        elif not self.answered:
-            self.news("listed", ("update", ()))
-        self.answered = True
+        self._answers(call, taken)
+
+    def _answers(self, call: Call, taken: tuple | None = None) -> None:
+        """What a watch brought is news; the first it says is its answer, and lets the former go, even with no news."""
+        first = call is self.watch and not self.answered
+        if first:
+            self.answered = True
+            self._leave_former()
+        if taken is not None or first:
+            self.news("listed", taken or ("update", ()))
 
     def _watch_ended(self, call: Call) -> None:
         if call is self.former:
@@ -114,12 +135,12 @@
         self.watch = None
         end = End.CLOSED if call.end is End.ANSWERED else call.end     # a watch is never over by itself
         self._failed(WATCH, end, call)
-        if self.pushed and call.end is not End.STOPPING:
-            self.later(AGAIN)
+        if call.end is not End.STOPPING and (self.pushed or self.former is not None):
+            self._see_to_it()
 
-    def _fetched(self, call: Call) -> None:
-        if call.end is not End.ANSWERED:
-            self._failed(FETCH, call.end, call)
+    def _fetched(self, call: Call, moves: int) -> None:
+        if call.end is not End.ANSWERED or moves != self.moves:     # the versions of an address that we left
+            self._failed(FETCH, End.DECLINED if call.end is End.ANSWERED else call.end, call)
             return
         try:
             said = self.catalog.read(call.body)
@@ -129,6 +150,7 @@
             return
         taken = self._take(said, "replace" if said.get("all", True) else "update", None)
         self.news("listed", taken or ("update", ()))
+        self._see_to_it()
 
     def _failed(self, purpose: str, end: End, call: Call) -> None:
         name = outcome(purpose, end)
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -47,12 +47,11 @@
         self.sent = Sent(len(settings.get("traffic_groups", [])), pilots == 1)
         self.listing = Listing(clock, self.sent.holds)
         self.catalog = Catalog(settings, self.listing.endpoint, self.listing.index.get)
-        self.rounds = Rounds(settings, int(str(configuration.get("seed", "0")), 16), self.listing, self.sent,
-                             self.counters)
+        seed = int(str(configuration.get("seed", "0")), 16)
+        self.rounds = Rounds(settings, seed, self.listing, self.sent, self.counters)
         self.discovery = Discovery(self.listing, self.catalog, self.counters, self.open_call, self.news,
-                                   settings.get("discovery") == "pushed")
-        self.discovery.extend = self.extend
-        self.discovery.later = lambda after: self.set_deadline(("watch",), self.clock() + after)
+                                   settings.get("discovery") == "pushed", random.Random(seed))
+        self.discovery.extend, self.discovery.later = self.extend, self._watch_later
         self.probes = Probes(settings, self.listing, self.counters, self.open_call, self.news, self.clock)
         reader = lines.Reader(settings, self.listing.index.get)
         # strangers leave room for every proxy's stream, its successor, and the collectors
@@ -124,8 +123,7 @@
         elif key[0] == "call":
             key[1].close(End.SILENT)
         elif key[0] == "watch":
-            if self.discovery.watch is None:
-                self.discovery.begin()
+            self.discovery.begin_if_due()
         elif key[0] == "reload":
             self.reload(self.reads - 1)
         elif key[0] == "round":
@@ -212,6 +210,10 @@
         if call.slot is not None and call.end is None:
             self.deadlines.set(("call", call), self.clock() + time)
 
+    def _watch_later(self, wait: int) -> None:
+        if ("watch",) not in self.deadlines.at:     # never put off by what comes meanwhile
+            self.set_deadline(("watch",), self.clock() + wait)
+
     def told(self, peer: int | None, data: bytes) -> None:
         if peer is None:
             self.counters["datagrams_of_strangers"] += 1
