--- a/ravenshelf/net/accepted.py
+++ b/ravenshelf/net/accepted.py
@@ -2,7 +2,7 @@
 from typing import Protocol
 
 from ravenshelf.memory.buffers import Buffers
-from ravenshelf.net.ends import STRANGER, End
+from ravenshelf.net.ends import STRANGER, STREAM, End
 from ravenshelf.net.lines import MOST_LINE, may_begin
 from ravenshelf.net.reading import Reading
 
@@ -14,6 +14,7 @@
     def came(self, connection: "Accepted") -> None: ...
     def said(self, connection: "Accepted", line: bytes) -> None: ...
     def gone(self, connection: "Accepted") -> None: ...
+    def lost(self, connection: "Accepted") -> None: ...
 
 
 class Accepted(Reading):
@@ -59,6 +60,20 @@
             return self.close(End.UNREAD)
         self.transport.write(data)
 
+    def let_go(self, end: End) -> None:
+        """At the pilot's stop a stream gets all that was written to it, and its end after that.
+
+        What the proxy still sends is read meanwhile and left: were it unread at the close, the system would reset the
+        connection and drop what is on its way, maybe in the middle of a message."""
+        if end is End.STOPPING and self.purpose == STREAM and not self.transport.is_closing():
+            self.transport.write_eof()
+        else:
+            super().let_go(end)
+
+    def connection_lost(self, why: Exception | None) -> None:
+        super().connection_lost(why)
+        self.owner.lost(self)
+
     def ended(self) -> None:
         self.rest = bytearray()
         self.owner.gone(self)
--- a/ravenshelf/net/reading.py
+++ b/ravenshelf/net/reading.py
@@ -41,12 +41,15 @@
             return
         self.end = end
         if self.transport is not None:
-            if end is End.STOPPING:
-                self.transport.close()      # what is ready goes out
-            else:
-                self.transport.abort()
+            self.let_go(end)
         self.ended()
 
+    def let_go(self, end: End) -> None:
+        if end is End.STOPPING:
+            self.transport.close()      # what is ready goes out
+        else:
+            self.transport.abort()
+
     def received(self, data: bytes) -> None:
         raise NotImplementedError
 
--- a/ravenshelf/process/door.py
+++ b/ravenshelf/process/door.py
@@ -26,6 +26,8 @@
         self.collectors: dict[int, Accepted] = {}       # the newest of each zone
         self.strangers: dict[Accepted, None] = {}       # in the order in which they connected
         self.followed: dict[Accepted, None] = {}        # the one longest silent first
+        self.leaving: set[Accepted] = set()     # at the stop: those that still get what was written
+        self.left_all: Callable[[], None] | None = None     # told once they have it, from the stop on
         self.kinds = {"SUBSCRIBE": self._subscribe, "SOURCE": self._source, "LOAD": self._load,
                       "RATE": self._rate, "ACK": self._ack}
 
@@ -34,6 +36,9 @@
     def came(self, connection: Accepted) -> None:
         self.counters["accepted"] += 1
         connection.since = self.clock()
+        if self.left_all is not None:
+            connection.close(End.STOPPING)
+            return
         if self.slots.size - len(self.slots) <= self.reserve:
             self._make_room(connection.since)
         connection.slot = self.slots.take(connection)
@@ -83,6 +88,26 @@
             if name is not None:        # what waits for a stream that the pilot ended goes on counting
                 self.news(name, (connection.proxy, True) if connection.end is End.UNREAD else (connection.proxy,))
 
+    def stop(self, left_all: Callable[[], None]) -> None:
+        """Nobody is heard any more; `left_all` is told when all have what was written to them."""
+        self.left_all, self.leaving = left_all, set(self.slots.held.values())
+        for connection in list(self.leaving):
+            connection.close(End.STOPPING)
+        if not self.leaving:
+            left_all()
+
+    def cut_off(self) -> None:
+        """Whoever has not taken it by now does not get it."""
+        for connection in list(self.leaving):
+            connection.transport.abort()
+
+    def lost(self, connection: Accepted) -> None:
+        """The socket is gone; its end was told before."""
+        if connection in self.leaving:
+            self.leaving.discard(connection)
+            if not self.leaving:
+                self.left_all()
+
     def fences(self, proxy: int) -> bool:
         """Whether the proxy refuses orders of an older term: it said so when it joined."""
         stream = self.streams.get(proxy)
--- a/ravenshelf/process/logs.py
+++ b/ravenshelf/process/logs.py
@@ -3,6 +3,7 @@
 import queue
 import sys
 import threading
+import time
 from datetime import timezone
 from typing import Callable
 
@@ -51,11 +52,12 @@
 
     def finish(self, seconds: float) -> None:
         """Writes what waits, for so long at most."""
+        by = time.monotonic() + seconds
         try:
-            self.lines.put_nowait(None)
+            self.lines.put(None, timeout=seconds)
         except queue.Full:
             return
-        self.thread.join(seconds)
+        self.thread.join(max(0.0, by - time.monotonic()))
 
 
 def as_json(record: dict, lost: int = 0) -> str:
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -30,6 +30,7 @@
 AFTER_FAILURE = 250_000
 STOOD_STILL, READ_FIRST = 500_000, 0.02     # a timer so late means that the process stood still; seconds to read
 READ_AGAIN, READS = 500_000, 10     # a configuration that can't be used may be half written still
+LEAVE_BY = 0.25     # seconds for all to take what was written; SIGKILL comes 0.7 s after SIGTERM, the log's end is to write
 
 
 class Pilot:
@@ -72,7 +73,8 @@
         self.log = None             # the log's sink, whose form a new operator file may change
         self.tap = None             # hears all that the module hears, where figures are sent
         self.gate = None            # keeps from it what is other controllers', where several share the fleet
-        self.ready, self.last_round, self.round_at, self.stopped = False, 0, 0, loop.create_future()
+        self.ready, self.last_round, self.round_at = False, 0, 0
+        self.stopping, self.stopped = False, loop.create_future()
         self.came = 0               # connections accepted until the last round
 
     # --- deadlines and rounds ---
@@ -84,7 +86,7 @@
     def arm(self) -> None:
         """One timer of the loop, for the earliest deadline."""
         at = self.deadlines.next()
-        if at is None or (self.timer is not None and (self.timer_at is None or self.timer_at <= at)):
+        if self.stopping or at is None or (self.timer is not None and (self.timer_at is None or self.timer_at <= at)):
             return
         if self.timer is not None:
             self.timer.cancel()
@@ -170,7 +172,7 @@
         self.counters.most("round_most_us", took)
         if self.tap is not None:
             self.tap.played(late, took)
-        for name, *values in calls or ():
+        for name, *values in calls or () if not self.stopping else ():
             self.do(name, values)
 
     def do(self, name: str, values: list) -> None:
@@ -241,6 +243,8 @@
             _, self.peers = await self.loop.create_datagram_endpoint(
                 lambda: datagrams.Datagrams(peers, everyone, self.told),
                 local_addr=datagrams.address(self.configuration["peer_listen"]))
+            if self.stopping:       # meanwhile: nothing begins any more
+                return
         host, port = datagrams.address(self.configuration["listen"])
         self.server = await self.loop.create_server(lambda: Accepted(self.buffers, self.door), host, port,
                                                     backlog=BACKLOG)
@@ -250,7 +254,7 @@
 
     def reload(self, reads: int = READS) -> None:
         """Reads the configuration again and takes it whole; one that can't be used changes nothing."""
-        if self.stopped.done():
+        if self.stopping:
             return
         self.deadlines.drop(("reload",))
         self.reads = reads
@@ -286,18 +290,31 @@
         self.operations.renew(operator, lambda changed: events.OPERATOR_TAKEN(changed=changed))
 
     def stop(self) -> None:
-        """Takes no more, writes what is ready, and lets the process end."""
-        if self.stopped.done():
+        """Takes no more, decides what was heard, writes what is ordered, and lets the process end.
+
+        From here on nothing dials, watches, reloads or is due; who reads nothing holds it up for LEAVE_BY at most."""
+        if self.stopping:
             return
-        if self.operations is not None:
-            self.operations.close()
+        self.stopping = True
+        if self.timer is not None:
+            self.timer.cancel()
         if self.server is not None:
             self.server.close()
-        for connection in list(self.slots.held.values()):
-            connection.close(End.STOPPING)
         for call in list(self.calls.held.values()):
             call.close(End.STOPPING)
-        self.stopped.set_result(None)
+        if self.ready and self.rounds.news:     # a drain that was heard is played, though its round was not yet due
+            self.round()
+        if self.operations is not None:
+            self.operations.close()
+        if self.peers is not None:
+            self.peers.transport.close()
+        self.loop.call_later(LEAVE_BY, self._end)
+        self.door.stop(self._end)
+
+    def _end(self) -> None:
+        if not self.stopped.done():
+            self.door.cut_off()
+            self.stopped.set_result(None)
 
     def failed(self, loop: asyncio.AbstractEventLoop, context: dict) -> None:
         """What failed in a call of the loop ends its connection, if it was one's; the pilot goes on."""
@@ -326,10 +343,11 @@
         from ravenshelf.process.operations import Operations
         pilot.operations, pilot.operator_again, pilot.log = Operations(operator, pilot, random.Random()), operator_again, log
     await pilot.start()
-    if pilot.operations is not None:
+    if pilot.operations is not None and not pilot.stopping:
         await pilot.operations.start()
-    host, port = pilot.server.sockets[0].getsockname()[:2]
-    events.SERVES(name=configuration.get("name"), address=f"{host}:{port}")
+    if not pilot.stopping:
+        host, port = pilot.server.sockets[0].getsockname()[:2]
+        events.SERVES(name=configuration.get("name"), address=f"{host}:{port}")
     await pilot.stopped
     pilot.count()
     await asyncio.sleep(0)
--- a/ravenshelf/process/run.py
+++ b/ravenshelf/process/run.py
@@ -1,5 +1,6 @@
 """The process: its log, its loop, its exit code."""
 import gc
+import signal
 from typing import Callable
 
 import uvloop
@@ -9,6 +10,8 @@
 from ravenshelf.process.clock import Clock
 from ravenshelf.process.pilot import serve
 
+LOG_BY = 0.15       # seconds for the log's last lines; with the 0.25 that streams may take, well within the 0.7 until SIGKILL
+
 
 def run(configuration: dict, again: Callable[[], dict], level: str, counters_every: float, operator=None,
         operator_again: Callable | None = None) -> int:
@@ -21,5 +24,7 @@
     except Exception:
         events.CANT_GO_ON.raised()
         code = 1
-    sink.finish(0.3)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1):
+        signal.signal(number, signal.SIG_IGN)   # the interpreter's end gives them back to the system: one more would kill
+    sink.finish(LOG_BY)
     return code
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -132,6 +132,12 @@
     def close(self):
         self.ended = "close"
 
+    def write_eof(self):
+        self.ended = "eof"
+
+    def is_closing(self):
+        return self.ended is not None
+
     def get_write_buffer_size(self):
         return self.unsent
 
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,233 @@
+"""What is still owed when a process, a connection, a call or a list ends: each crossing is forced by holding one side."""
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+import uvloop
+from conftest import SETTINGS, target
+from test_process import GOOD, Line, begin
+
+from ravenshelf.process.clock import Clock
+from ravenshelf.process.pilot import Pilot
+
+ROOMY = SETTINGS | {"family-info": SETTINGS["family-info"] | {"lines-per-s": 200_000, "most-waiting": 400_000}}
+
+
+# --- a pilot in this process, on a real loop and real sockets ---
+
+class Proxy(asyncio.Protocol):
+    def __init__(self):
+        self.read, self.over = b"", asyncio.get_running_loop().create_future()
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.read += data
+
+    def connection_lost(self, why):
+        self.over.set_result(why)
+
+    async def until(self, words):
+        async with asyncio.timeout(20):
+            while words not in self.read:
+                await asyncio.sleep(0.001)
+
+
+@contextlib.asynccontextmanager
+async def serving(**changes):
+    pilot = Pilot(GOOD | {"discovery": "127.0.0.1:1"} | changes, asyncio.get_running_loop(), Clock())
+    await pilot.start()
+    try:
+        yield pilot, pilot.server.sockets[0].getsockname()[1]
+    finally:
+        pilot.stop()
+        await pilot.stopped
+
+
+async def joined(port, number=1):
+    _, proxy = await asyncio.get_running_loop().create_connection(Proxy, "127.0.0.1", port)
+    proxy.transport.write(f"SUBSCRIBE proxy={number} zone=a weight=20 fresh=1\r\n".encode())
+    await proxy.until(b"whole=1")
+    return proxy
+
+
+def test_a_drain_that_was_heard_is_ordered_in_a_last_round_at_the_stop():
+    async def play():
+        async with serving(known={"rev": 4, "all": True, "targets": [target("s-1"), target("s-2")]}) as (pilot, port):
+            proxy = await joined(port)
+            calls = []
+            pilot.do = lambda name, values: calls.append(name)
+            index, entry = pilot.listing.index["s-1"], pilot.listing.entries[pilot.listing.index["s-1"]]
+            pilot.last_round = pilot.clock() + 10_000_000       # the next round is far away
+            pilot.news("listed", ("update", ((index, *entry[1:4], "draining", *entry[5:]),)))
+            assert b"s-1:0" not in proxy.read
+            pilot.stop()
+            heard = pilot.rounds.news
+            await proxy.over
+        assert not heard and (b"out=s-1" in proxy.read or b"s-1:0" in proxy.read) and proxy.read.endswith(b"\r\n")
+        assert not calls and not pilot.calls.held and pilot.timer.cancelled()
+    uvloop.run(play())
+
+
+def test_after_the_stop_begins_nothing_is_taken_dialled_or_due():
+    async def play():
+        async with serving() as (pilot, port):
+            proxy = await joined(port)
+            pilot.stop()
+            watches, rounds = pilot.counters["discovery_watches"], pilot.counters["rounds"]
+            pilot.door.came(late := type("Late", (), {"close": lambda self, end: setattr(self, "end", end)})())
+            pilot.reload()
+            pilot.news("listed", ("update", ()))
+            pilot.set_deadline(("watch",), 0)
+            pilot.stop()
+            await pilot.stopped
+            await proxy.over
+            assert late.end.name == "STOPPING" and not pilot.counters["reloads"]
+            assert (pilot.counters["discovery_watches"], pilot.counters["rounds"]) == (watches, rounds)
+            with pytest.raises(OSError):
+                await asyncio.get_running_loop().create_connection(Proxy, "127.0.0.1", port)
+    uvloop.run(play())
+
+
+# --- the program itself ---
+
+def begin_with(tmp_path, **changes):
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(GOOD | changes))
+    return begin(file)
+
+
+def refused(port):
+    """Waits until nobody listens there: the stop has begun."""
+    by = time.monotonic() + 20
+    while time.monotonic() < by:
+        try:
+            socket.create_connection(("127.0.0.1", port), timeout=20).close()
+        except OSError:
+            return True
+    return False
+
+
+def test_what_was_written_reaches_a_slow_reader_whole_though_it_goes_on_speaking(tmp_path):
+    """It reads nothing until the stop has begun, and what it said last is unread then: no message may end half-way."""
+    targets = [target(f"s-{n}-{'x' * 40}") for n in range(4000)]
+    running, port = begin_with(tmp_path, settings=ROOMY, known={"rev": 4, "all": True, "targets": targets})
+    try:
+        slow = socket.socket()
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        slow.settimeout(20)
+        slow.connect(("127.0.0.1", port))
+        slow.sendall(b"SUBSCRIBE proxy=1 zone=a weight=20 fresh=1\r\n")
+        slow.recv(1, socket.MSG_PEEK)       # the bind is written
+        running.send_signal(signal.SIGTERM)
+        assert refused(port)
+        slow.sendall(b"RATE proxy=1 class=look tries=1 failed=0 span_ms=1000\r\n" * 20)
+        read = b""
+        while piece := slow.recv(65536):
+            read += piece
+        assert read.endswith(b"\r\n") and read.count(b"s-") == len(targets)
+        slow.close()
+        assert running.wait(20) == 0
+    finally:
+        running.kill()
+        running.communicate()
+
+
+def test_who_reads_nothing_holds_up_no_stop(tmp_path):
+    targets = [target(f"s-{n}-{'x' * 40}") for n in range(4000)]
+    settings = ROOMY | {"family-info": ROOMY["family-info"] | {"proxy-count": 200}}
+    running, port = begin_with(tmp_path, settings=settings, known={"rev": 4, "all": True, "targets": targets})
+    proxies = []
+    try:
+        for n in range(200):
+            proxies.append(socket.socket())
+            proxies[-1].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            proxies[-1].settimeout(20)
+            proxies[-1].connect(("127.0.0.1", port))
+            proxies[-1].sendall(f"SUBSCRIBE proxy={n} zone=a weight=20 fresh=1\r\n".encode())
+        for proxy in proxies:
+            proxy.recv(1, socket.MSG_PEEK)
+        running.send_signal(signal.SIGTERM)
+        assert running.wait(20) == 0
+    finally:
+        running.kill()
+        running.communicate()
+        for proxy in proxies:
+            proxy.close()
+
+
+def test_signals_that_come_until_the_last_moment_make_no_crash_of_a_stop(tmp_path):
+    running, port = begin_with(tmp_path)
+    try:
+        proxy = Line(port).say("SUBSCRIBE proxy=1 zone=a weight=21.5 fresh=1")
+        assert "whole=1" in proxy.hear()
+        for number in [signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1] * 5000:
+            running.send_signal(number)
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                running.wait(0.001)
+            if running.poll() is not None:
+                break
+        assert running.returncode == 0
+    finally:
+        running.kill()
+        running.communicate()
+
+
+def test_a_stop_in_the_middle_of_a_reload(tmp_path):
+    """The new file is a pipe that the test holds: the pilot reads it while the signal comes."""
+    running, port = begin_with(tmp_path)
+    file = tmp_path / "config.json"
+    try:
+        proxy = Line(port).say("SUBSCRIBE proxy=1 zone=a weight=21.5 fresh=1")
+        assert "whole=1" in proxy.hear()
+        file.unlink()
+        os.mkfifo(file)
+        running.send_signal(signal.SIGHUP)
+        with open(file, "w") as pipe:       # opened by both: the reload is in its read
+            running.send_signal(signal.SIGTERM)
+            pipe.write(json.dumps(GOOD)[:100])
+        assert running.wait(20) == 0 and proxy.hear() == ""
+    finally:
+        running.kill()
+        running.communicate()
+
+
+def test_a_stop_while_nobody_reads_the_log(tmp_path):
+    """Standard error is a pipe filled to the brim: the thread that writes hangs in it at the exit."""
+    out, into = os.pipe()
+    os.set_blocking(into, False)
+    with contextlib.suppress(BlockingIOError):
+        while os.write(into, b"." * 65536):
+            pass
+    with contextlib.suppress(BlockingIOError):
+        while os.write(into, b"."):
+            pass
+    os.set_blocking(into, True)
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(GOOD | {"listen": f"127.0.0.1:{port}"}))
+    running = subprocess.Popen([sys.executable, "-m", "ravenshelf", "serve"], stderr=into,
+                               env=os.environ | {"RELAY_CONFIG": str(file)})
+    try:
+        by = time.monotonic() + 20
+        while time.monotonic() < by:
+            with contextlib.suppress(OSError):
+                assert Line(port).say("PING").hear() == "PONG"
+                break
+        running.send_signal(signal.SIGTERM)
+        assert running.wait(20) == 0
+    finally:
+        running.kill()
+        running.wait(20)
+        os.close(out)
+        os.close(into)
