What a failed round did not write is owed again; a message counts as told once all are made

Seen, by a test on the text before: a round failed while its messages were made (lines.config), none went out, and the withdrawal in it was never ordered again to a proxy that was not bound yet: the new module benched the endpoint, Sent took it for written.

Lines at fault: Sent._withdrawals wrote `held.settled` and `held.out`, and Sent.messages wrote `past`, as each message was put together; Rounds._start_over (Sent.forget) keeps them on purpose, for the proxies do hold what was written. Ruled out: news of the failed round (the list is held by Listing and told whole, who joined or left by Rounds.joined; answers and reports that get lost count on the safe side: lines wait longer).

Change: Sent.messages makes and encodes all first, then what they say counts as told.

Measured: the test fails without the change and passes.

--- a/ravenshelf/memory/sent.py
+++ b/ravenshelf/memory/sent.py
@@ -2,6 +2,7 @@
 
 Tables, levels and withdrawals are kept once; the orders of a round become one message for each proxy concerned."""
 from dataclasses import dataclass, field
+from typing import Callable
 
 from ravenshelf.interface import EVERYWHERE
 
@@ -201,9 +202,11 @@
 
     # --- the round's messages ---
 
-    def messages(self) -> list[tuple[int, list[Part]]]:
-        """One message for each proxy that the round's orders concern; then nothing is touched any more."""
-        out = []
+    def messages(self, made: Callable[[int, list[Part]], bytes] | None = None) -> list[tuple]:
+        """One message for each proxy that the round's orders concern; then nothing is touched any more.
+
+        `made` makes each what goes out. Only once all are made does a proxy count as told: where one fails, none goes."""
+        out, told = [], []
         for proxy in self._concerned():
             held = self.proxies[proxy]
             parts = self._message(held)
@@ -211,8 +214,13 @@
                 parts = parts or [Part()]
                 parts[-1].ticket = self.ticket
             if parts:
-                self.past[proxy] |= held.out
-                out.append((proxy, parts))
+                told.append((proxy, held, tuple(parts[0].out), tuple(parts[0].back)))
+                out.append((proxy, parts) if made is None else (proxy, parts, made(proxy, parts)))
+        for proxy, held, shut_out, let_back in told:
+            held.settled.update(shut_out, let_back)
+            held.out.update(shut_out)
+            held.out.difference_update(let_back)
+            self.past[proxy] |= held.out
         self.drop()
         return out
 
@@ -290,7 +298,4 @@
                     out.append(e)
             elif held.shuts_out(e) or (held.unknown and e in held.asked and e not in held.settled):
                 back.append(e)
-        held.settled.update(out, back)
-        held.out.update(out)
-        held.out.difference_update(back)
         return out, back
--- a/ravenshelf/process/rounds.py
+++ b/ravenshelf/process/rounds.py
@@ -48,10 +48,7 @@
             self._settle(channel)
             self.controller.round(now, news, self.sent)
             calls, wakes, ticket = self.sent.calls, self.sent.wakes, self.sent.ticket
-            ordered = self.sent.messages()
-            for proxy, parts in ordered if self.gate is not None else ():
-                self.gate.shape(proxy, parts)
-            messages = [(proxy, parts, lines.config(parts, self.listing.names, self.names)) for proxy, parts in ordered]
+            messages = self.sent.messages(self._made)
         except Exception:
             events.MODULE_FAILED.raised(calls=str([name for name, _ in news][:20]))
             self._start_over()
@@ -79,6 +76,11 @@
         self.counters["rounds"] += 1
         return [*calls, *(("wake", at, key) for at, key in wakes)]
 
+    def _made(self, proxy: int, parts: list) -> bytes:
+        if self.gate is not None:
+            self.gate.shape(proxy, parts)
+        return lines.config(parts, self.listing.names, self.names)
+
     def _settle(self, channel) -> None:
         """Lets back what proxies may shut out by orders that are not known here, as the channel has room for it.
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -415,6 +415,19 @@
     assert "whole=1 lines=s-1:" in p.out[0][1] and ("observe", True) in calls
 
 
+def test_a_withdrawal_of_a_round_that_failed_is_owed_again(play):
+    """The round failed as its messages were made: none went out, so no proxy counts as told what they said."""
+    p = play()
+    p.run(join(0), join(1))
+    p.now += 5 * SECOND
+    p.rounds.controller.write = lambda *_: None     # the tables keep the line, so the withdrawal has to go out
+    names, p.listing.names = p.listing.names, []    # no message can be made
+    assert p.run(("listed", ("update", ((0, 0, 0, 0, "draining", 4.0, 0),)))) is None and not p.out
+    p.listing.names = names
+    p.sent.bench(0, True)       # the new module has heard the list, and bound nobody yet
+    assert [(proxy, parts[0].out) for proxy, parts in p.sent.messages()] == [(0, [0]), (1, [0])]
+
+
 def test_a_module_that_starts_over_knows_what_waits_and_gives_no_mark_twice(play):
     p = play()
     p.run(join(0), join(1))
