A registry restored from a backup is followed; a number given away brings nothing of the one before

Seen, each driven by a test on the text before (3 failed): - a list with lower versions at the same address, as after a restore from a backup, was never taken again, nor any change to it (Listing.take: `rev < self.rev`), while the watch went on well; - an index that another endpoint got after ten minutes kept what Sent knew of the one before: the new one's first table brought `back=` to every proxy that had shut out the old one, lines that the channel was not charged for; and an old id that came back under another number stayed shut out at those proxies for good (Sent.past, Held.settled by index). Ruled out: the module's own record of the index (a start that is newer forgets, older evidence has faded in 600 s, `benched` is put right by follow_list).

Change: a version lower than ours, where ours was taken over 30 s ago, is the service's own: its whole list is taken (what is told is told within 6 s, so a list is not late by that much). Listing tells Sent when a number is given away, and when a name comes back whose number was.

Measured: the tests fail without the change and pass.

--- a/ravenshelf/memory/listing.py
+++ b/ravenshelf/memory/listing.py
@@ -2,11 +2,17 @@
 from typing import Callable
 
 REST = 600_000_000      # an index is given to another endpoint no sooner after its own has gone: evidence has faded
+FORMER = 65_536         # names remembered of those whose index is another's
 
 
 class Listing:
-    def __init__(self, clock: Callable[[], int], in_use: Callable[[int], bool]):
-        self.clock, self.in_use = clock, in_use
+    def __init__(self, clock: Callable[[], int], in_use: Callable[[int], bool],
+                 given_away: Callable[[int], None] = lambda index: None,
+                 returned: Callable[[int], None] = lambda index: None):
+        """`given_away(index)`: it is another endpoint's from now on. `returned(index)`: one came back whose index was."""
+        self.clock, self.in_use, self.given_away, self.returned = clock, in_use, given_away, returned
+        self.former: dict[str, None] = {}       # names whose index is another's, oldest first
+        self.taken = clock()                    # when a list or a change was last taken
         self.rev, self.names, self.index = 0, [], {}
         self.entries: dict[int, tuple] = {}     # what the module was last told of each listed endpoint
         self.addresses: dict[int, str] = {}
@@ -20,9 +26,17 @@
                 rested = len(self.names)
                 self.names.append(name)
             else:
-                del self.index[self.names[rested]], self.left[rested]
+                former = self.names[rested]
+                del self.index[former], self.left[rested]
+                self.former[former] = None
+                if len(self.former) > FORMER:
+                    del self.former[next(iter(self.former))]
                 self.names[rested] = name
+                self.given_away(rested)
             self.index[name] = rested
+            if name in self.former:
+                del self.former[name]
+                self.returned(rested)
         return self.index[name]
 
     def _rested(self) -> int | None:
@@ -43,7 +57,7 @@
             return None
         if how == "update" and after is not None and after > self.rev:
             return "gap"
-        self.rev = rev
+        self.rev, self.taken = rev, self.clock()
         if how != "update":
             self.entries = {}
         for entry in entries:
--- a/ravenshelf/memory/sent.py
+++ b/ravenshelf/memory/sent.py
@@ -176,6 +176,22 @@
     def holds(self, endpoint: int) -> bool:
         return any(endpoint in lines for lines in self.tables.values())
 
+    def given_away(self, endpoint: int) -> None:
+        """The number is another endpoint's: what was said of the one before says nothing of it."""
+        self.benched.discard(endpoint)
+        for kept in self.past.values():
+            kept.discard(endpoint)
+        for held in self.proxies.values():
+            for kept in (held.out, held.past, held.settled):
+                kept.discard(endpoint)
+
+    def returned(self, endpoint: int) -> None:
+        """One that may be shut out by orders given under another number: proxies let it back with the table it comes in."""
+        for kept in self.past.values():
+            kept.add(endpoint)
+        for held in self.proxies.values():
+            held.past.add(endpoint)
+
     # --- what a proxy may have kept of other pilots, or of this one before it restarted ---
 
     def doubts(self, proxy: int) -> list[int]:
--- a/ravenshelf/process/discovery.py
+++ b/ravenshelf/process/discovery.py
@@ -12,6 +12,7 @@
 LIST = "/catalog/members"
 ANSWER_BY = 5_000_000       # a call that is not answered by then has failed
 SILENCE = 5_000_000         # an open watch says something every 2 s
+RESTORED = 30_000_000       # what is told is told within 6 s: versions lower than ours for so long are the service's own
 AGAIN = 1_000_000           # within this a watch that the module does not ask for is begun anew, not by all at one time
 
 
@@ -103,9 +104,12 @@
             events.WATCH_UNREADABLE(why=str(why))
             call.close(End.UNREADABLE)
             return
-        changes = not said.get("all", False)
-        if call is self.watch and self.moved:
-            self.moved = changes and said["rev"] < self.listing.rev
+        changes, lower = not said.get("all", False), said["rev"] < self.listing.rev
+        # guards against a registry that was restored from a backup, whose list would never be taken again; harm: a list that
+        # is late by more than half a minute is taken for one, until the changes that follow
+        restored = lower and self.listing.clock() - self.listing.taken > RESTORED
+        if call is self.watch and (self.moved or restored):
+            self.moved = changes and lower
             self.listing.rev = self.after = 0       # versions of its own, which only by chance are as high as ours
             if self.moved:      # only its whole list tells where it stands
                 call.close(End.UNREADABLE)
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -46,7 +46,7 @@
         accepted = sockets - OWN - calls
         self.slots, self.calls = Slots(accepted), Slots(calls)
         self.sent = Sent(len(settings.get("traffic_groups", [])), pilots == 1)
-        self.listing = Listing(clock, self.sent.holds)
+        self.listing = Listing(clock, self.sent.holds, self.sent.given_away, self.sent.returned)
         self.catalog = Catalog(settings, self.listing.endpoint, self.listing.index.get)
         seed = int(str(configuration.get("seed", "0")), 16)
         self.rounds = Rounds(settings, seed, self.listing, self.sent, self.counters)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -96,6 +96,33 @@
     assert ("s-2" in listing.index) == (index == 3) and len(listing.index) == len(listing.names)
 
 
+def test_a_number_given_to_another_endpoint_brings_nothing_of_the_one_before_and_that_one_is_let_back_when_it_returns():
+    now, sent = [1000], Sent(groups=1, alone=True)
+    listing = Listing(lambda: now[0], sent.holds, sent.given_away, sent.returned)
+
+    def told(index):
+        sent.bench(index, False)
+        for proxy in (1, 2):
+            sent.line(0, index, 1.0)
+            sent.bind(proxy, 0)
+        return [(proxy, parts[0].out, parts[0].back) for proxy, parts in sent.messages()]
+    listing.take("replace", 1, [entry(listing.endpoint("s-1"))], {})
+    sent.joined(1, True)
+    assert told(0) == [(1, [], [])]
+    sent.joined(2, True)        # holds a table of which nothing is known yet: it is told to shut s-1 out
+    sent.bench(0, True)
+    sent.line(0, 7, 1.0)
+    sent.line(0, 0, 0)
+    assert dict(sent.messages())[2][0].out == [0]
+    listing.take("update", 2, [entry(0, "gone")], {})
+    now[0] += REST
+    assert listing.endpoint("s-2") == 0
+    listing.take("update", 3, [entry(0)], {})
+    assert told(0) == [(1, [], []), (2, [], [])]        # nobody ever shut out s-2
+    listing.take("update", 4, [entry(listing.endpoint("s-1"))], {})
+    assert listing.index["s-1"] == 1 and told(1) == [(1, [], [1]), (2, [], [1])]    # somebody may shut out s-1 still
+
+
 # --- the writer ---
 
 @pytest.fixture
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -51,7 +51,8 @@
 class Service:
     def __init__(self, pushed=False):
         self.calls, self.told, self.again = [], [], []
-        self.listing = Listing(lambda: 0, lambda index: False)
+        self.now = 0
+        self.listing = Listing(lambda: self.now, lambda index: False)
         settings = provisioning(SETTINGS)
         self.listing.take("replace", 5, [(self.listing.endpoint("s-1"), 0, 0, 0, "ready", 4.0, 0)], {0: "127.0.0.1:9"})
 
@@ -283,6 +284,26 @@
     assert service.told == [("listed", ("update", []))]
 
 
+@pytest.mark.parametrize("whole", [True, False])
+def test_a_registry_restored_from_a_backup_is_followed_once_it_cannot_be_late_any_more(service, whole):
+    d = service.discovery
+    d.observe(True)
+    service.calls[-1].says(9, target("s-2"))
+    service.now += 6 * SECOND
+    service.calls[-1].says(3, target("s-1"), all=True)      # as late as lists may be
+    assert service.listing.rev == 9 and sorted(service.listing.entries) == [0, 1]
+    service.now += 25 * SECOND
+    service.calls[-1].says(4, target("s-1", state="DRAINING"), all=whole)
+    if not whole:       # changes to a list that we do not have: it asks for all
+        assert service.calls[-1].end is End.UNREADABLE and service.told[-1] == ("list_failed",)
+        d.observe(True)
+        assert service.calls[-1].path.endswith("after=0")
+        service.calls[-1].says(4, target("s-1", state="DRAINING"), all=True)
+    assert service.listing.rev == 4 and service.told[-1] == ("listed", ("replace", [(0, "draining")]))
+    service.calls[-1].says(5, target("s-3"))
+    assert service.told[-1] == ("listed", ("update", [(2, "ready")]))
+
+
 def test_a_change_of_what_was_never_listed_is_taken_and_its_end_forgotten(service):
     service.discovery.begin()
     service.calls[-1].says(6, target("s-9", state="DELETED"), target("s-2", boot_ms=4e12))     # gone; starts in the future
