A reload of another customer's configuration is refused: classes and zones we serve must be there

Seen, by a test on the text before (3 failed): a file with other zones or classes, put in place by mistake, was taken at SIGHUP: its discovery was followed, so another deployment's endpoints came into the tables, and the log said only that settings wait for a restart.

Line at fault: configuration.renewed takes `discovery` of any file that can be read. Ruled out: `check`, which is right to accept it for a start.

Change: a file that lacks a zone or a class that this pilot serves is refused with both lists in the reason (`reloads_failed`); more of them is the same deployment, grown, and waits for a restart as before.

Measured: the tests fail without the change and pass.

--- a/ravenshelf/process/configuration.py
+++ b/ravenshelf/process/configuration.py
@@ -89,7 +89,13 @@
 def renewed(old: dict, new: dict) -> tuple[dict, list[str]]:
     """The configuration that a reload makes of both, and what of the new one waits for a restart.
 
-    Only discovery's address is taken: what is known of the list is newer than `known`, a seed begins with a start."""
+    A file of another deployment, by mistake, would lead the pilot to another's discovery: it is refused. Otherwise
+    only discovery's address is taken: what is known of the list is newer than `known`, a seed begins with a start."""
+    for name, of in (("azs", str), ("classes", lambda each: str(each["name"]))):
+        ours, theirs = ([of(each) for each in said["settings"][name]] for said in (old, new))
+        if not set(ours) <= set(theirs):
+            raise Wrong(f"settings.{name}: expected those that this pilot serves, {', '.join(ours)}, not {', '.join(theirs)}; "
+                        "this is another deployment's configuration, nothing of it is taken")
     waiting = []
     for name in sorted((set(old) | set(new)) - {"discovery", "known", "seed"}):
         had, has = old.get(name), new.get(name)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -606,6 +606,30 @@
     assert new.end is End.SILENT        # its own deadline holds
 
 
+@pytest.mark.parametrize("change, told", [
+    ({"azs": ["dc-north", "dc-south"]}, "settings.azs: expected those that this pilot serves, a, b, not dc-north, dc-south"),
+    ({"classes": [{"name": "toll"}, {"name": "pay"}]}, "settings.classes: expected those that this pilot serves, look, pay"),
+    ({"azs": ["a"]}, "settings.azs"),
+])
+def test_a_reload_of_another_customers_configuration_changes_nothing(begun, change, told):
+    pilot, loop = begun
+    before = pilot.configuration
+    pilot.again = lambda: GOOD | {"discovery": "127.0.0.1:99", "settings": SETTINGS | change}
+    with pytest.raises(Wrong, match=told):
+        configuration.renewed(before, pilot.again())
+    pilot.reload()
+    loop.play(0.01)
+    assert pilot.configuration is before
+    assert pilot.counters["reloads_failed"] == 1 and not pilot.counters["reloads"] and not pilot.discovery.moves
+
+
+def test_a_reload_with_more_classes_and_zones_is_the_same_deployments(begun):
+    pilot, _ = begun
+    more = SETTINGS | {"azs": ["c", "b", "a"], "classes": [{"name": "new"}, *SETTINGS["classes"]]}
+    new, waiting = configuration.renewed(pilot.configuration, GOOD | {"discovery": "127.0.0.1:99", "settings": more})
+    assert new["discovery"] == "127.0.0.1:99" and waiting == ["settings.azs", "settings.classes"]
+
+
 @pytest.mark.parametrize("late, spoke, end", [(6.0, True, None), (6.0, False, End.SILENT), (0.0, False, End.SILENT)])
 def test_a_pilot_that_stood_still_reads_before_it_takes_others_for_silent(begun, late, spoke, end):
     pilot, loop = begun
