--- a/ravenshelf/__main__.py
+++ b/ravenshelf/__main__.py
@@ -1,214 +1,24 @@
-"""ravenshelf: serve, check, figures, events, settings, controllers, store, version."""
-import json
+"""ravenshelf: `serve` starts at once, without the libraries of the command line; all else is in `commands`."""
+import os
 import signal
 import sys
-from pathlib import Path
-from typing import Annotated, Optional
 
-import typer
 
-from ravenshelf import __version__
-from ravenshelf.process import configuration
+def serve(arguments: list[str]) -> int:
+    """Until the loop takes the signals: nothing is owed to anyone yet, and the file has yet to be read."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: os._exit(0))
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from ravenshelf.process import serving
+    return serving.main(arguments)
 
-app = typer.Typer(help="ravenshelf tells forwarders where work goes.", no_args_is_help=True, add_completion=False)
-Config = Annotated[Optional[Path], typer.Option("--config", "-c", help="The configuration; else RELAY_CONFIG names it.")]
-OperatorFile = Annotated[Optional[Path], typer.Option("--operator", "-o", help="The operator file (TOML).")]
-Form = Annotated[str, typer.Option("--form", help="table, markdown or json.")]
 
-
-def refuse(why) -> typer.Exit:
-    for line in str(why).splitlines():
-        print(f"ravenshelf: {line}", file=sys.stderr)
-    return typer.Exit(2)
-
-
-def read(config: Path | None) -> dict:
-    try:
-        return configuration.read(str(config) if config else None)
-    except configuration.Wrong as why:
-        raise refuse(why) from None
-
-
-def read_operator(file: Path | None):
-    """The operator file's tables; without one nothing of it is loaded."""
-    if file is None:
-        return None
-    from ravenshelf.operating import reading
-    try:
-        return reading.read(file)
-    except reading.Wrong as why:
-        raise refuse(why) from None
-
-
-@app.command()
-def serve(
-    config: Config = None,
-    operator: OperatorFile = None,
-    log_level: Annotated[str, typer.Option(help="Least level of log lines: DEBUG, INFO, WARNING or ERROR.")] = "INFO",
-    counters_every: Annotated[float, typer.Option(help="Seconds between prints of the counters; 0: none.")] = 0,
-):
-    """Run one pilot until SIGTERM. Its counters are printed at the end and on SIGUSR1; SIGHUP reads the files again."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)    # until the loop takes it, the file has yet to be read
-    from ravenshelf.process import logs, run
-    if log_level.upper() not in logs.LEVELS:
-        raise typer.BadParameter(f"expected one of {', '.join(logs.LEVELS)}", param_hint="--log-level")
-    path, tables, again = str(config) if config else None, read_operator(operator), None
-    if operator is not None:
-        from ravenshelf.operating import reading
-        again = lambda: reading.read(operator)      # noqa: E731
-    raise typer.Exit(run.run(read(config), lambda: configuration.read(path), log_level.upper(), counters_every,
-                             tables, again))
-
-
-@app.command()
-def check(config: Config = None, operator: OperatorFile = None):
-    """Check a configuration, and an operator file with it, and say what they hold."""
-    wrong, said, tables = 0, None, None
-    try:        # what is wrong with both is told at once
-        said = read(config)
-    except typer.Exit:
-        wrong = 2
-    try:
-        tables = read_operator(operator)
-    except typer.Exit:
-        wrong = 2
-    if wrong:
-        raise typer.Exit(wrong)
-    print(configuration.summary(said))
-    if tables is not None:
-        from ravenshelf.operating.reading import summary
-        print(summary(tables))
-
-
-def show(headings, rows, form: str, title: str) -> None:
-    from ravenshelf import printing
-    if form not in printing.FORMS:
-        raise typer.BadParameter(f"expected one of {', '.join(printing.FORMS)}", param_hint="--form")
-    printing.show(headings, rows, form, title)
-
-
-@app.command()
-def figures(form: Form = "table"):
-    """Every figure that is sent to Graphite."""
-    from ravenshelf.graphite.figures import rows
-    show(("path", "unit", "importance", "source", "meaning", "formed"), rows(), form, "Below PREFIX.PILOT")
-
-
-@app.command()
-def events(form: Form = "table"):
-    """Every event of the log."""
-    from ravenshelf.events import CATALOGUE
-    rows = [(e.name, e.level, e.meaning, "; ".join(f"{n}: {u}" for n, u in e.fields.items())) for e in CATALOGUE.values()]
-    show(("event", "level", "meaning", "fields"), rows, form, "Events")
-
-
-@app.command()
-def settings(form: Form = "table"):
-    """Every key of the operator file."""
-    from ravenshelf.operating.reading import rows
-    show(("table", "key", "default", "expected"), rows(), form, "The operator file")
-
-
-controllers = typer.Typer(help="Controllers that share a fleet: what one of them says and does.", no_args_is_help=True)
-app.add_typer(controllers, name="controllers")
-Admin = Annotated[Path, typer.Option("--admin", "-a", help="The controller's Unix socket: admin in [leadership].")]
-AsJson = Annotated[bool, typer.Option("--json", help="One JSON object instead of a table.")]
-
-
-def asked(admin: Path, question: dict) -> dict:
-    from ravenshelf.leadership.admin import ask
-    try:
-        told = ask(str(admin), question)
-    except (OSError, ValueError) as why:
-        raise refuse(f"{admin}: expected a running controller, {why}") from None
-    if "error" in told:
-        raise refuse(told["error"])
-    return told
-
-
-@controllers.command()
-def status(admin: Admin, as_json: AsJson = False):
-    """Members, and the shards that this controller owns or asks for."""
-    from ravenshelf import printing
-    said = asked(admin, {"ask": "status"})["status"]
-    if as_json:
-        print(json.dumps(said, indent=1))
-        return
-    words = [word for word in ("recovering", "alone", "draining") if said[word]]
-    print(f"{said['name']} of {said['cluster']}, incarnation {said['incarnation']}"
-          f"{', ' + ', '.join(words) if words else ''}: {said['proxies']} proxies with a stream, "
-          f"{said['held_orders']} orders held, loop late by {said['late_ms']} ms")
-    printing.show(("member", "met", "incarnation", "weight", "shards"),
-                  [tuple(m.values()) for m in said["members"]], title="Members")
-    printing.show(("shard", "state", "term", "record", "lease ms", "proxies"),
-                  [tuple(s.values()) for s in said["shards"]], title="Shards")
-
-
-@controllers.command()
-def drain(admin: Admin, undo: Annotated[bool, typer.Option("--undo", help="Take part again.")] = False):
-    """Give all shards to the others at the pace of balancing, and take no more."""
-    told = asked(admin, {"ask": "undrain" if undo else "drain"})
-    print("takes part again" if undo else f"{told['shards']} shards go to the others")
-
-
-@controllers.command()
-def handover(admin: Admin, to: Annotated[Optional[str], typer.Option(help="Who is to have them first.")] = None,
-             shard: Annotated[Optional[list[int]], typer.Option(help="Which; without it all.")] = None):
-    """Give shards up at once, all or some."""
-    given = asked(admin, {"ask": "handover", "to": to, "shards": shard or None})["given"]
-    print(f"gave up {len(given)} shards{f': {given}' if given else ''}")
-
-
-store = typer.Typer(help="State on disk, of a pilot that does not run.", no_args_is_help=True)
-app.add_typer(store, name="store")
-Folder = Annotated[Path, typer.Argument(help="The folder that holds segments.")]
-
-
-def opened(folder: Path, readonly: bool):
-    from ravenshelf.store.journal import Journal
-    from ravenshelf.store.segments import Damaged
-    try:
-        if not any(folder.glob("*.segment")):
-            raise Damaged(f"{folder}: expected a folder with segments")
-        return Journal(folder, {}, readonly=readonly)
-    except (Damaged, OSError) as why:
-        raise refuse(why) from None
-
-
-@store.command()
-def verify(folder: Folder, as_json: AsJson = False):
-    """Read all of it; exit code 2 names what is damaged."""
-    journal = opened(folder, True)
-    said = {"identity": journal.identity, "entries": len(journal.map), "segments": len(journal.segments.sizes),
-            "octets": sum(journal.segments.sizes.values()), "torn_tail": journal.cut}
-    if as_json:
-        print(json.dumps(said))
-    else:
-        print("sound: " + ", ".join(f"{name} {value}" for name, value in said.items()))
-
-
-@store.command()
-def dump(folder: Folder):
-    """Every entry, one JSON object a line."""
-    for key, value in opened(folder, True).map.items():
-        print(json.dumps({"key": key, "value": value}, default=lambda v: v.hex() if isinstance(v, bytes) else str(v)))
-
-
-@store.command()
-def compact(folder: Folder):
-    """Write one segment with all that holds in place of the others."""
-    journal = opened(folder, False)
-    before = sum(journal.segments.sizes.values())
-    journal.compact()
-    print(f"{before} octets before, {sum(journal.segments.sizes.values())} after, {len(journal.map)} entries")
-    journal.close()
-
-
-@app.command()
-def version():
-    """Print the version."""
-    print(f"ravenshelf {__version__}")
+def main() -> None:
+    if sys.argv[1:2] == ["serve"]:
+        sys.exit(serve(sys.argv[2:]))
+    from ravenshelf.commands import app
+    app()
 
 
 if __name__ == "__main__":
-    app()
+    main()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -284,6 +284,21 @@
         running.communicate()
 
 
+def test_a_stop_before_the_first_answer(tmp_path):
+    """The configuration is a pipe that the test holds: the process has begun to read it, no loop runs yet."""
+    file = tmp_path / "config.json"
+    os.mkfifo(file)
+    running = subprocess.Popen([sys.executable, "-m", "ravenshelf", "serve"], env=os.environ | {"RELAY_CONFIG": str(file)})
+    try:
+        with open(file, "w"):
+            running.send_signal(signal.SIGHUP)
+            running.send_signal(signal.SIGTERM)
+            assert running.wait(20) == 0
+    finally:
+        running.kill()
+        running.wait(20)
+
+
 def test_a_stop_while_nobody_reads_the_log(tmp_path):
     """Standard error is a pipe filled to the brim: the thread that writes hangs in it at the exit."""
     out, into = os.pipe()
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -138,7 +138,7 @@
 # --- what serving loads ---
 
 def loaded(*operator):
-    program = ("import sys\nfrom ravenshelf import __main__\nfrom ravenshelf.process import logs, run, pilot\n"
+    program = ("import sys\nfrom ravenshelf import __main__\nfrom ravenshelf.process import logs, run, pilot, serving\n"
                + ("from ravenshelf.process import operations\n" if operator else "")
                + "print('\\n'.join(sorted(sys.modules)))")
     out = subprocess.run([sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True, check=True).stdout
@@ -147,6 +147,7 @@
 
 EXTRAS = ("numpy", "scipy", "hdrh", "xxhash", "cryptography", "hypothesis", "pytest", "matplotlib", "z3", "textual",
           "tomlkit", "pydantic", "importlinter", "grpc")
+COMMAND_LINE = ("typer", "click", "rich", "shellingham", "markdown_it", "pygments")
 OWN = ("ravenshelf.graphite", "ravenshelf.collectd", "ravenshelf.store", "ravenshelf.background", "ravenshelf.operating",
        "standins", "benchmarks", "examples")
 
@@ -155,6 +156,7 @@
     modules = loaded()
     assert "ravenshelf.rules" in modules
     assert not [m for m in modules if m.split(".")[0] in (*EXTRAS, "msgspec") or m.startswith(OWN)]
+    assert not [m for m in modules if m.split(".")[0] in COMMAND_LINE or m == "ravenshelf.commands"]
     assert not [m for m in loaded("operator") if m.split(".")[0] in EXTRAS or m.startswith(("ravenshelf.graphite",
                                                                                            "ravenshelf.collectd"))]
 
