A call that nobody answered is repeated 6 s after it began at the latest, not 4 s after its end

Line at fault: Controller.list_failed counted the wait from the end of the call. Ruled out: waits after a call that failed soon (503, reset, refused): they stay as they were, for there the service is what needs the rest; the calls a second that a pilot may make stay bounded by one in 0.5 to 4 s.

Change: the wait ends one second after the module's own 5 s for the call.

Measured: the test fails without the change and passes.

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -391,8 +391,8 @@
         self.ask_again, self.vain = self.ask_again if how == "restored" else 0, 0
 
     def list_failed(self):      # a broken subscription is silent: ask again, not all pilots at one time
-        self.vain = min(self.vain + 1, 3)       # up to 2 to 4 s, of the 6 after which changes count as told
-        self.ask_again = self.now + round(SECOND * 2 ** self.vain * self.chance.uniform(0.25, 0.5))
+        self.vain, soon = min(self.vain + 1, 3), (self.ask_again or self.now) + SECOND  # 6 s after its call
+        self.ask_again = min(soon, self.now + round(SECOND * 2 ** self.vain * self.chance.uniform(0.25, 0.5)))
 
     def joined(self, proxy, zone, usual, fresh):
         self.left(proxy, True)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -620,7 +620,7 @@
     for _ in range(5):
         p.hear(("list_failed", ()))
         waits.append((p.controller.ask_again - p.now) / SECOND)
-        p.now += 5 * SECOND
+        p.run(5)        # it asks again meanwhile
     assert all(least <= wait <= 2 * least for least, wait in zip((0.5, 1, 2, 2, 2), waits))
     assert len({wait for wait in waits[2:]}) == 3       # drawn anew each time
     p.hear(("listed", ("update", ())))
@@ -629,6 +629,20 @@
     assert p.controller.ask_again - p.now <= SECOND
 
 
+def test_a_call_that_nobody_answered_is_repeated_six_seconds_after_it_began_at_the_latest(pilot):
+    """What discovery has to tell counts as told by then; a refusal at once still waits ever longer (above)."""
+    p = pilot(discovery="on_request")
+    for _ in range(4):
+        p.hear(("list_failed", ()))
+        p.run(4.25)
+        began = p.now = p.controller.ask_again or p.now
+        p.hear()
+        assert ("observe", (True,)) in p.kept.calls[-3:]
+        p.now = began + 5 * SECOND
+        p.hear(("list_failed", ()))
+        assert p.controller.ask_again <= began + 6 * SECOND
+
+
 def test_a_start_in_the_future_is_cold_until_then_and_breaks_nothing(pilot):
     p = pilot()
     p.run(5, lambda s: [met(i // 2, i) for i in range(4)])
