What waits for a stream that the pilot ended stays counted when its proxy's next stream breaks

Seen, by a test on the text before: a stream ended by the pilot (unread) left its lines counted, as the page says; the proxy came again and that stream broke, and the break took the first one's lines out of the count too (Channel.left pops by proxy, and lines are kept by proxy, not by stream). The belief of the queue was then shorter than the queue.

Change: lines of a stream that the pilot ended belong to nobody from then on (key None, as those beyond the charge); nobody's answer or break takes them out, time and later answers do.

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -198,10 +198,11 @@
         elif before and took < self.late_most + before / self.usual * SECOND:
             self.pace += (self.usual - self.pace) * 0.1
 
-    def left(self, proxy):
-        """What waits for it is dropped, as much as may be: so no later answer proves too much.
-
-        It counts no longer where it can't have left yet: what has left may wait for what is older."""
+    def left(self, proxy, ended=False):
+        """What waits for it is dropped, as much as may be: so no later answer proves too much. It counts no longer
+        where it can't have left yet. Of a stream that this pilot `ended` itself all stays counted, for nobody."""
+        for sending in self.open if ended else ():
+            sending.lines[None] = sending.lines.get(None, 0) + sending.lines.pop(proxy, 0)
         self.sent.pop(proxy, None)
         for sending in self.open:
             if lines := sending.lines.pop(proxy, 0):
@@ -401,11 +402,9 @@
         self.channel.sent[proxy], self.channel.came[proxy] = deque(), next(self.channel.turns)
 
     def left(self, proxy, ended=False):
-        """What waits for a stream that this pilot ended itself stays counted."""
         if proxy in self.proxies:
             del self.users[self.proxies.pop(proxy).table][proxy]
-        if not ended:
-            self.channel.left(proxy)
+        self.channel.left(proxy, ended)
 
     def heard(self, zone, index, tries, dropped, latency, window, report):
         e, now = self.endpoints.get(index), self.now
