--- a/ravenshelf/net/accepted.py
+++ b/ravenshelf/net/accepted.py
@@ -75,7 +75,7 @@
             return self.close(End.UNREAD)
         self.transport.write(data)
 
-    def let_go(self, end: End) -> None:
+    def close_transport(self, end: End) -> None:
         """At the pilot's stop a stream gets all that was written to it, and its end after that.
 
         What the proxy still sends is read meanwhile and left: were it unread at the close, the system would reset the
@@ -83,7 +83,7 @@
         if end is End.STOPPING and self.purpose == STREAM and not self.transport.is_closing():
             self.transport.write_eof()
         else:
-            super().let_go(end)
+            super().close_transport(end)
 
     def connection_lost(self, why: Exception | None) -> None:
         super().connection_lost(why)
--- a/ravenshelf/net/reading.py
+++ b/ravenshelf/net/reading.py
@@ -44,10 +44,10 @@
             return
         self.end = end
         if self.transport is not None:
-            self.let_go(end)
+            self.close_transport(end)
         self.ended()
 
-    def let_go(self, end: End) -> None:
+    def close_transport(self, end: End) -> None:
         if end is End.STOPPING:
             self.transport.close()      # what is ready goes out
         else:
--- a/ravenshelf/process/discovery.py
+++ b/ravenshelf/process/discovery.py
@@ -10,10 +10,10 @@
 from ravenshelf.net.http import Call
 
 LIST = "/catalog/members"
-ANSWER_BY = 5_000_000       # a call that is not answered by then has failed
-SILENCE = 5_000_000         # an open watch says something every 2 s
+CALL_TIMEOUT = 5_000_000       # a call that is not answered by then has failed
+IDLE_TIMEOUT = 5_000_000         # an open watch says something every 2 s
 RESTORED = 30_000_000       # what is told is told within 6 s: versions lower than ours for so long are the service's own
-AGAIN = 1_000_000           # within this a watch that the module does not ask for is begun anew, not by all at one time
+RETRY_DELAY = 1_000_000           # within this a watch that the module does not ask for is begun anew, not by all at one time
 
 
 class Discovery:
@@ -30,7 +30,7 @@
         self.moved = False                  # whether the address is new: its versions may be others
         self.answered, self.after = False, 0
         self.extend: Callable = lambda call, time: None
-        self.later: Callable = lambda time: None
+        self.schedule: Callable = lambda time: None
 
     # --- what the module asks for ---
 
@@ -65,7 +65,7 @@
         self.counters["discovery_watches"] += 1
         self.answered, self.after = False, 0 if self.moved else self.listing.rev
         path = f"{LIST}?watch=1&after={self.after}"
-        self.watch = self.open_call(WATCH, path, self._watch_ended, self._watch_said, ANSWER_BY)
+        self.watch = self.open_call(WATCH, path, self._watch_ended, self._watch_said, CALL_TIMEOUT)
 
     def begin_if_due(self) -> None:
         if self.watch is None and self.wanted:
@@ -76,24 +76,24 @@
         if watch is not None:
             watch.close(End.SUPERSEDED)
 
-    def _see_to_it(self) -> None:
+    def _schedule_watch(self) -> None:
         """Has a watch begun where the module may not ask: where lists are pushed, or come from elsewhere meanwhile.
 
         Guards against a list that never speaks again: any list is an answer to the module, which asks no more then."""
         if self.watch is None and self.wanted:
-            self.later(round(AGAIN * self.chance.uniform(0.5, 1)))
+            self.schedule(round(RETRY_DELAY * self.chance.uniform(0.5, 1)))
 
     def fetch(self) -> None:
         self.counters["discovery_fetches"] += 1
         moves = self.moves
-        self.open_call(FETCH, LIST, lambda call: self._fetched(call, moves), None, ANSWER_BY)
+        self.open_call(FETCH, LIST, lambda call: self._fetched(call, moves), None, CALL_TIMEOUT)
 
     # --- what comes back ---
 
     def _watch_said(self, call: Call, line: bytes) -> None:
         if call is not self.watch and call is not self.former:
             return
-        self.extend(call, SILENCE)
+        self.extend(call, IDLE_TIMEOUT)
         if not line:        # nothing has changed since the version we hold, or at a new address: its list is to come
             if not self.moved:
                 self._answers(call)
@@ -140,7 +140,7 @@
         end = End.CLOSED if call.end is End.ANSWERED else call.end     # a watch is never over by itself
         self._failed(WATCH, end, call)
         if call.end is not End.STOPPING and (self.pushed or self.former is not None):
-            self._see_to_it()
+            self._schedule_watch()
 
     def _fetched(self, call: Call, moves: int) -> None:
         if call.end is not End.ANSWERED or moves != self.moves:     # the versions of an address that we left
@@ -154,7 +154,7 @@
             return
         taken = self._take(said, "replace" if said.get("all", True) else "update", None)
         self.news("listed", taken or ("update", ()))
-        self._see_to_it()
+        self._schedule_watch()
 
     def _failed(self, purpose: str, end: End, call: Call) -> None:
         name = outcome(purpose, end)
--- a/ravenshelf/process/door.py
+++ b/ravenshelf/process/door.py
@@ -10,9 +10,9 @@
 from ravenshelf.net.ends import COLLECTOR, OURS, STRANGER, STREAM, End, outcome
 from ravenshelf.net.lines import Malformed, Reader, Unreadable
 
-JOIN_BY = 1_500_000         # whoever has not joined so long after connecting is shut out, whatever was said
+JOIN_TIMEOUT = 1_500_000         # whoever has not joined so long after connecting is shut out, whatever was said
 MAY_STAY = 1_000_000        # for so long at least nobody is shut out for want of room, but at the very limit
-SILENCE = 30_000_000        # a connection that was followed by a newer one, and says nothing for so long
+IDLE_TIMEOUT = 30_000_000        # a connection that was followed by a newer one, and says nothing for so long
 LATE = 1_000_000            # a mark can't have taken longer than since it was written, but for the clocks
 
 
@@ -27,10 +27,10 @@
         self.collectors: dict[int, Accepted] = {}       # the newest of each zone
         self.strangers: dict[Accepted, None] = {}       # in the order in which they connected
         self.followed: dict[Accepted, None] = {}        # the one longest silent first
-        self.quiet: list[Accepted] = []         # streams that said nothing between two looks, the likeliest gone last
-        self.looked = 0
-        self.leaving: set[Accepted] = set()     # at the stop: those that still get what was written
-        self.left_all: Callable[[], None] | None = None     # told once they have it, from the stop on
+        self.idle: list[Accepted] = []         # streams that said nothing between two looks, the likeliest gone last
+        self.swept = 0
+        self.lingering: set[Accepted] = set()     # at the stop: those that still get what was written
+        self.all_closed: Callable[[], None] | None = None     # told once they have it, from the stop on
         self.kinds = {"SUBSCRIBE": self._subscribe, "SOURCE": self._source, "LOAD": self._load,
                       "RATE": self._rate, "ACK": self._ack}
 
@@ -39,7 +39,7 @@
     def came(self, connection: Accepted) -> None:
         self.counters["accepted"] += 1
         connection.since = self.clock()
-        if self.left_all is not None:
+        if self.all_closed is not None:
             connection.close(End.STOPPING)
             return
         if self.slots.size - len(self.slots) <= self.reserve:
@@ -49,38 +49,38 @@
             connection.close(End.CROWDED)
             return
         self.strangers[connection] = None
-        self.set_deadline(("silent", connection), connection.since + JOIN_BY)
+        self.set_deadline(("silent", connection), connection.since + JOIN_TIMEOUT)
 
     def _make_room(self, now: int) -> None:
         """One that is followed goes first, then the oldest stranger, but not one that may be about to join.
 
-        At the very limit it is a stream that has said nothing for SILENCE: machines that vanish leave theirs open, and
+        At the very limit it is a stream that has said nothing for IDLE_TIMEOUT: machines that vanish leave theirs open, and
         those would keep out whoever lives. Harm: a proxy without flows says nothing either, and has to join again."""
-        self._look_for_quiet(now)
+        self._sweep_idle(now)
         full = len(self.slots) == self.slots.size
         oldest = next(iter(self.followed), None) or next(iter(self.strangers), None)
         if oldest is None and full:
-            while self.quiet and oldest is None:
-                stream = self.quiet.pop()
+            while self.idle and oldest is None:
+                stream = self.idle.pop()
                 oldest = stream if stream.end is None and not stream.spoke else None
             if oldest is not None:
                 oldest.close(End.CROWDED)
         elif oldest is not None and (oldest.followed or oldest.since <= now - MAY_STAY or full):
             oldest.close(End.CROWDED)
 
-    def _look_for_quiet(self, now: int) -> None:
-        """While room is short, notes every SILENCE which streams said nothing since the last look."""
-        if now - self.looked >= SILENCE:
-            self.looked, streams = now, list(self.streams.values())
+    def _sweep_idle(self, now: int) -> None:
+        """While room is short, notes every IDLE_TIMEOUT which streams said nothing since the last look."""
+        if now - self.swept >= IDLE_TIMEOUT:
+            self.swept, streams = now, list(self.streams.values())
             # those that owe an answer to a mark go first: they are the likelier to be gone
-            self.quiet = sorted((s for s in streams if not s.spoke), key=lambda s: bool(s.tickets))
+            self.idle = sorted((s for s in streams if not s.spoke), key=lambda s: bool(s.tickets))
             for stream in streams:
                 stream.spoke = False
 
     def _spoke(self, connection: Accepted) -> None:
         self.followed.pop(connection, None)
         self.followed[connection] = None
-        self.set_deadline(("silent", connection), self.clock() + SILENCE)
+        self.set_deadline(("silent", connection), self.clock() + IDLE_TIMEOUT)
 
     def _known(self, connection: Accepted, purpose: str) -> None:
         connection.purpose, connection.followed = purpose, False
@@ -110,25 +110,25 @@
             if name is not None:        # what waits for a stream that the pilot ended goes on counting
                 self.news(name, (connection.proxy, True) if connection.end in OURS else (connection.proxy,))
 
-    def stop(self, left_all: Callable[[], None]) -> None:
-        """Nobody is heard any more; `left_all` is told when all have what was written to them."""
-        self.left_all, self.leaving = left_all, set(self.slots.held.values())
-        for connection in list(self.leaving):
+    def stop(self, all_closed: Callable[[], None]) -> None:
+        """Nobody is heard any more; `all_closed` is told when all have what was written to them."""
+        self.all_closed, self.lingering = all_closed, set(self.slots.held.values())
+        for connection in list(self.lingering):
             connection.close(End.STOPPING)
-        if not self.leaving:
-            left_all()
+        if not self.lingering:
+            all_closed()
 
-    def cut_off(self) -> None:
+    def abort_lingering(self) -> None:
         """Whoever has not taken it by now does not get it."""
-        for connection in list(self.leaving):
+        for connection in list(self.lingering):
             connection.transport.abort()
 
     def lost(self, connection: Accepted) -> None:
         """The socket is gone; its end was told before."""
-        if connection in self.leaving:
-            self.leaving.discard(connection)
-            if not self.leaving:
-                self.left_all()
+        if connection in self.lingering:
+            self.lingering.discard(connection)
+            if not self.lingering:
+                self.all_closed()
 
     def fences(self, proxy: int) -> bool:
         """Whether the proxy refuses orders of an older term: it said so when it joined."""
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -30,7 +30,7 @@
 AFTER_FAILURE = 250_000
 STOOD_STILL, READ_FIRST = 500_000, 0.02     # a timer so late means that the process stood still; seconds to read
 READ_AGAIN, READS = 500_000, 10     # a configuration that can't be used may be half written still
-LEAVE_BY = 0.25     # seconds for all to take what was written; SIGKILL comes 0.7 s after SIGTERM, the log's end is to write
+LINGER_TIMEOUT = 0.25     # seconds for all to take what was written; SIGKILL comes 0.7 s after SIGTERM, the log's end is to write
 
 
 class Pilot:
@@ -52,7 +52,7 @@
         self.rounds = Rounds(settings, seed, self.listing, self.sent, self.counters)
         self.discovery = Discovery(self.listing, self.catalog, self.counters, self.open_call, self.news,
                                    settings.get("discovery") == "pushed", random.Random(seed))
-        self.discovery.extend, self.discovery.later = self.extend, self._watch_later
+        self.discovery.extend, self.discovery.schedule = self.extend, self._schedule_watch
         self.probes = Probes(settings, self.listing, self.counters, self.open_call, self.news, self.clock)
         reader = lines.Reader(settings, self.listing.index.get)
         # strangers leave room for every proxy's stream, its successor, and the collectors
@@ -212,7 +212,7 @@
         if call.slot is not None and call.end is None:
             self.deadlines.set(("call", call), self.clock() + time)
 
-    def _watch_later(self, wait: int) -> None:
+    def _schedule_watch(self, wait: int) -> None:
         if ("watch",) not in self.deadlines.at:     # never put off by what comes meanwhile
             self.set_deadline(("watch",), self.clock() + wait)
 
@@ -292,7 +292,7 @@
     def stop(self) -> None:
         """Takes no more, decides what was heard, writes what is ordered, and lets the process end.
 
-        From here on nothing dials, watches, reloads or is due; who reads nothing holds it up for LEAVE_BY at most."""
+        From here on nothing dials, watches, reloads or is due; who reads nothing holds it up for LINGER_TIMEOUT at most."""
         if self.stopping:
             return
         self.stopping = True
@@ -308,12 +308,12 @@
             self.operations.close()
         if self.peers is not None:
             self.peers.transport.close()
-        self.loop.call_later(LEAVE_BY, self._end)
-        self.door.stop(self._end)
+        self.loop.call_later(LINGER_TIMEOUT, self._finish_stop)
+        self.door.stop(self._finish_stop)
 
-    def _end(self) -> None:
+    def _finish_stop(self) -> None:
         if not self.stopped.done():
-            self.door.cut_off()
+            self.door.abort_lingering()
             self.stopped.set_result(None)
 
     def failed(self, loop: asyncio.AbstractEventLoop, context: dict) -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -18,7 +18,7 @@
 from ravenshelf.process import configuration, logs
 from ravenshelf.process.configuration import Wrong
 from ravenshelf.process.clock import Clock
-from ravenshelf.process.discovery import AGAIN, Discovery
+from ravenshelf.process.discovery import RETRY_DELAY, Discovery
 from ravenshelf.process.pilot import Pilot
 from ravenshelf.process.probes import Probes
 from ravenshelf.process.rounds import Rounds
@@ -66,7 +66,7 @@
         self.counters = Counters()
         self.discovery = Discovery(self.listing, Catalog(settings, self.listing.endpoint, self.listing.index.get),
                                    self.counters, open_call, news, pushed, random.Random(5))
-        self.discovery.later, self.extended = self.again.append, []
+        self.discovery.schedule, self.extended = self.again.append, []
         self.discovery.extend = lambda call, time: self.extended.append(call)
         self.probes = Probes(settings, self.listing, self.counters, open_call,
                              lambda name, values: self.told.append((name, values)), lambda: 0)
@@ -210,7 +210,7 @@
     service.calls[-1].close(End.REFUSED)
     old.says(7, target("s-3"))
     old.close(End.CLOSED)
-    assert len(service.calls) == 2 and [AGAIN / 2 <= wait <= AGAIN for wait in service.again] == [True]
+    assert len(service.calls) == 2 and [RETRY_DELAY / 2 <= wait <= RETRY_DELAY for wait in service.again] == [True]
     d.begin_if_due()
     assert service.calls[-1].purpose == "watch" and service.calls[-1].path.endswith("after=0")
     service.calls[-1].close(End.REFUSED)
@@ -623,6 +623,24 @@
     assert pilot.counters["reloads_failed"] == 1 and not pilot.counters["reloads"] and not pilot.discovery.moves
 
 
+def test_a_second_reload_takes_the_place_of_one_that_waits_for_its_next_read(begun):
+    pilot, loop = begun
+    reads = []
+
+    def again():
+        reads.append(loop.now)
+        if len(reads) < 3:
+            raise Wrong("expected JSON")
+        return GOOD | {"discovery": "127.0.0.1:99"}
+    pilot.again = again
+    pilot.reload()
+    loop.play(0.3)
+    pilot.reload()      # a second SIGHUP, and a third that brings the whole file
+    pilot.reload()
+    loop.play(3)
+    assert len(reads) == 3 and pilot.counters["reloads"] == 1 and ("reload",) not in pilot.deadlines.at
+
+
 def test_a_reload_with_more_classes_and_zones_is_the_same_deployments(begun):
     pilot, _ = begun
     more = SETTINGS | {"azs": ["c", "b", "a"], "classes": [{"name": "new"}, *SETTINGS["classes"]]}
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -14,7 +14,7 @@
 
 from ravenshelf.net.accepted import Accepted
 from ravenshelf.net.ends import End
-from ravenshelf.process.discovery import SILENCE, Discovery
+from ravenshelf.process.discovery import IDLE_TIMEOUT, Discovery
 from ravenshelf.process.pilot import Pilot
 from ravenshelf.rules import SECOND
 from standins.world import obeyed
@@ -80,7 +80,7 @@
         done = call.done
 
         def ended(call):
-            if call.end is End.SILENT and self.loop.now - self.spoke[call] < SILENCE - 1000:
+            if call.end is End.SILENT and self.loop.now - self.spoke[call] < IDLE_TIMEOUT - 1000:
                 self.wrong.append("a call that had just begun or spoken was ended as silent")
             done(call)
         call.done = ended
@@ -324,7 +324,7 @@
     elif fault == "moved away from what speaks":
         monkeypatch.setattr(Discovery, "move", move_away_from_what_speaks)
     elif fault == "nobody sees to a watch":
-        monkeypatch.setattr(Discovery, "_see_to_it", lambda self: None)
+        monkeypatch.setattr(Discovery, "_schedule_watch", lambda self: None)
     else:
         monkeypatch.setattr(Pilot, "round", lambda self, seen=Pilot.round: None if self.stopping else seen(self))
     assert any(Play(seed).run() for seed in range(400))
