A last round that fails holds up no stop; one source of chance

Seen, by a test on the text before: a round that raised in the stop left the process without an end (Pilot.stop: the timer and the streams came after it); the test did not end within 20 s.

Change: the linger timer is set first, the streams are closed whatever fails. Discovery draws its waits from the decisions' generator instead of one of its own with the same seed.

Measured: the test fails without the change and passes.

--- a/ravenshelf/process/discovery.py
+++ b/ravenshelf/process/discovery.py
@@ -10,10 +10,10 @@
 from ravenshelf.net.http import Call
 
 LIST = "/catalog/members"
-CALL_TIMEOUT = 5_000_000       # a call that is not answered by then has failed
-IDLE_TIMEOUT = 5_000_000         # an open watch says something every 2 s
+CALL_TIMEOUT = 5_000_000    # a call that is not answered by then has failed
+IDLE_TIMEOUT = 5_000_000    # an open watch says something every 2 s
 RESTORED = 30_000_000       # what is told is told within 6 s: versions lower than ours for so long are the service's own
-RETRY_DELAY = 1_000_000           # within this a watch that the module does not ask for is begun anew, not by all at one time
+RETRY_DELAY = 1_000_000     # within this a watch that the module does not ask for is begun anew, not by all at one time
 
 
 class Discovery:
--- a/ravenshelf/process/door.py
+++ b/ravenshelf/process/door.py
@@ -10,9 +10,9 @@
 from ravenshelf.net.ends import COLLECTOR, OURS, STRANGER, STREAM, End, outcome
 from ravenshelf.net.lines import Malformed, Reader, Unreadable
 
-JOIN_TIMEOUT = 1_500_000         # whoever has not joined so long after connecting is shut out, whatever was said
+JOIN_TIMEOUT = 1_500_000    # whoever has not joined so long after connecting is shut out, whatever was said
 MAY_STAY = 1_000_000        # for so long at least nobody is shut out for want of room, but at the very limit
-IDLE_TIMEOUT = 30_000_000        # a connection that was followed by a newer one, and says nothing for so long
+IDLE_TIMEOUT = 30_000_000   # a connection that was followed by a newer one, and says nothing for so long
 LATE = 1_000_000            # a mark can't have taken longer than since it was written, but for the clocks
 
 
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -30,7 +30,7 @@
 AFTER_FAILURE = 250_000
 STOOD_STILL, READ_FIRST = 500_000, 0.02     # a timer so late means that the process stood still; seconds to read
 READ_AGAIN, READS = 500_000, 10     # a configuration that can't be used may be half written still
-LINGER_TIMEOUT = 0.25     # seconds for all to take what was written; SIGKILL comes 0.7 s after SIGTERM, the log's end is to write
+LINGER_TIMEOUT = 0.25   # seconds for all to take what was written; SIGKILL comes 0.7 s after SIGTERM, the log's end is to write
 
 
 class Pilot:
@@ -48,10 +48,10 @@
         self.sent = Sent(len(settings.get("traffic_groups", [])), pilots == 1)
         self.listing = Listing(clock, self.sent.holds, self.sent.given_away, self.sent.returned)
         self.catalog = Catalog(settings, self.listing.endpoint, self.listing.index.get)
-        seed = int(str(configuration.get("seed", "0")), 16)
-        self.rounds = Rounds(settings, seed, self.listing, self.sent, self.counters)
+        self.rounds = Rounds(settings, int(str(configuration.get("seed", "0")), 16), self.listing, self.sent,
+                             self.counters)
         self.discovery = Discovery(self.listing, self.catalog, self.counters, self.open_call, self.news,
-                                   settings.get("discovery") == "pushed", random.Random(seed))
+                                   settings.get("discovery") == "pushed", self.rounds.controller.chance)
         self.discovery.extend, self.discovery.schedule = self.extend, self._schedule_watch
         self.probes = Probes(settings, self.listing, self.counters, self.open_call, self.news, self.clock)
         reader = lines.Reader(settings, self.listing.index.get)
@@ -296,20 +296,22 @@
         if self.stopping:
             return
         self.stopping = True
+        self.loop.call_later(LINGER_TIMEOUT, self._finish_stop)
         if self.timer is not None:
             self.timer.cancel()
         if self.server is not None:
             self.server.close()
-        for call in list(self.calls.held.values()):
-            call.close(End.STOPPING)
-        if self.ready and self.rounds.news:     # a drain that was heard is played, though its round was not yet due
-            self.round()
-        if self.operations is not None:
-            self.operations.close()
-        if self.peers is not None:
-            self.peers.transport.close()
-        self.loop.call_later(LINGER_TIMEOUT, self._finish_stop)
-        self.door.stop(self._finish_stop)
+        try:
+            for call in list(self.calls.held.values()):
+                call.close(End.STOPPING)
+            if self.ready and self.rounds.news:     # a drain that was heard is played, though its round was not yet due
+                self.round()
+            if self.operations is not None:
+                self.operations.close()
+            if self.peers is not None:
+                self.peers.transport.close()
+        finally:        # whatever fails in it, the streams get what was written
+            self.door.stop(self._finish_stop)
 
     def _finish_stop(self) -> None:
         if not self.stopped.done():
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -52,7 +52,8 @@
         yield pilot, pilot.server.sockets[0].getsockname()[1]
     finally:
         pilot.stop()
-        await pilot.stopped
+        async with asyncio.timeout(20):
+            await pilot.stopped
 
 
 async def joined(port, number=1):
@@ -100,6 +101,20 @@
     uvloop.run(play())
 
 
+def test_a_last_round_that_fails_holds_up_no_stop():
+    async def play():
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        async with serving() as (pilot, port):
+            proxy = await joined(port)
+            pilot.news("listed", ("update", ()))
+            pilot.rounds.run = lambda now, write: 1 / 0
+            asyncio.get_running_loop().call_soon(pilot.stop)
+            async with asyncio.timeout(20):
+                await proxy.over
+                await pilot.stopped
+    uvloop.run(play())
+
+
 # --- streams and floods ---
 
 def test_a_mark_on_its_way_is_taken_though_its_proxy_joins_again_on_the_stream(entry):
