--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -72,6 +72,13 @@
                              lambda name, values: self.told.append((name, values)), lambda: 0)
 
 
+    def watched(self):
+        """A watch that has spoken: of s-2, in version 6."""
+        self.discovery.observe(True)
+        self.calls[-1].says(6, target("s-2"))
+        return self.calls[-1]
+
+
 @pytest.fixture
 def service():
     return Service()
@@ -126,10 +133,7 @@
 
 
 def test_a_new_address_is_watched_before_the_old_one_is_let_go(service):
-    d = service.discovery
-    d.observe(True)
-    old = service.calls[-1]
-    old.says(6, target("s-2"))
+    d, old = service.discovery, service.watched()
     d.move()
     new = service.calls[-1]
     old.says(7, target("s-3"))      # changes go on at the old one meanwhile
@@ -143,9 +147,7 @@
 @pytest.mark.parametrize("whole", [True, False])
 def test_a_service_with_lower_versions_at_a_new_address_is_followed(service, whole):
     d = service.discovery
-    d.observe(True)
-    service.calls[-1].says(6, target("s-2"))
-    service.calls[-1].close(End.RESET)
+    service.watched().close(End.RESET)
     d.move()
     service.calls[-1].says(2, target("s-2"), all=whole)
     if not whole:       # changes since which version of ours can't be told: the next call asks for all
@@ -168,10 +170,7 @@
 
 
 def test_the_former_address_is_heard_until_the_new_one_answers_however_often_it_is_asked(service):
-    d = service.discovery
-    d.observe(True)
-    old = service.calls[-1]
-    old.says(6, target("s-2"))
+    d, old = service.discovery, service.watched()
     d.move()
     service.calls[-1].close(End.REFUSED)
     d.observe(True)                     # the module asks again
@@ -188,10 +187,7 @@
 
 
 def test_a_second_move_keeps_the_watch_that_speaks(service):
-    d = service.discovery
-    d.observe(True)
-    first = service.calls[-1]
-    first.says(6, target("s-2"))
+    d, first = service.discovery, service.watched()
     d.move()
     between = service.calls[-1]
     d.move()
@@ -202,10 +198,7 @@
 
 def test_lists_from_elsewhere_never_leave_the_pilot_without_a_watch(service):
     """Any list is an answer to the module, which asks no more: so the watch that failed begins by itself."""
-    d = service.discovery
-    d.observe(True)
-    old = service.calls[-1]
-    old.says(6, target("s-2"))
+    d, old = service.discovery, service.watched()
     d.move()
     service.calls[-1].close(End.REFUSED)
     old.says(7, target("s-3"))
