--- a/ravenshelf/commands.py
+++ b/ravenshelf/commands.py
@@ -1,13 +1,12 @@
 """The command line: check, figures, events, settings, controllers, store, version; serve is in process/serving.py."""
 import json
-import sys
 from pathlib import Path
 from typing import Annotated, Optional
 
 import typer
 
 from ravenshelf import __version__
-from ravenshelf.process import configuration
+from ravenshelf.process import configuration, serving
 
 app = typer.Typer(help="ravenshelf tells forwarders where work goes.", no_args_is_help=True, add_completion=False)
 Config = Annotated[Optional[Path], typer.Option("--config", "-c", help="The configuration; else RELAY_CONFIG names it.")]
@@ -16,9 +15,7 @@
 
 
 def refuse(why) -> typer.Exit:
-    for line in str(why).splitlines():
-        print(f"ravenshelf: {line}", file=sys.stderr)
-    return typer.Exit(2)
+    return typer.Exit(serving.refuse(why))
 
 
 def read(config: Path | None) -> dict:
@@ -42,7 +39,6 @@
 @app.command(add_help_option=False, context_settings={"ignore_unknown_options": True, "allow_extra_args": True})
 def serve(context: typer.Context):
     """Run one pilot until SIGTERM; `serve --help` lists its options."""
-    from ravenshelf.process import serving
     raise typer.Exit(serving.main(context.args))
 
 
