A pilot left alone gives tables instead of withdrawals; cold shares bounded after restarts

Beside it, found in the small world: Controller.plan took a zone for one that returns when the pilot had just started and heard of nobody (`lone`), and Controller.strengths gave a cold endpoint its usual share at pilots that had forgotten all they knew.

Change: tables are planned first, comers get theirs even behind a long queue where endpoints leave, and only what still holds a leaving endpoint is told so. A table that finds no room is written in short form (moves over half of an even share, cold lines) with the urgency of a withdrawal only where it would send a cold endpoint more than half of what fells it over its plan, or is empty. What returns is let back once no waiting table holds it at its old weight. A zone nobody was heard of returns only when half of it started; cold endpoints older than the pilot's first report count less where a small multiple fells them (`frail`).

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -1,5 +1,4 @@
-"""Every decision of ravenshelf: which proxy holds which lines, what it lets in and when it tries again.
-Called as `interface.py` says; times are microseconds."""
+"""Every decision of ravenshelf, called as `interface.py` says; times are microseconds."""
 import random
 from bisect import insort
 from collections import Counter, defaultdict, deque
@@ -93,9 +92,8 @@
 class Channel:
     """Counts lines, heads and messages before they are ordered: a full queue breaks a rule.
 
-    A message waits until it and all before it have left. What waits for a stream that breaks is dropped; what
-    is ordered later leaves sooner by that, maybe before what is older. So an answer proves only what lies
-    before it both in order and by its place: lines ever ordered, less those dropped as if at the slowest."""
+    What waits for a stream that breaks is dropped, what is ordered later leaves sooner by that. So an answer
+    proves only what lies before it in order and by its place: lines ordered less those dropped as if slow."""
     def __init__(self, service):
         self.pace = self.usual = max(1.0, service.get("lines_per_s") or 1e9)
         self.head, self.most = service.get("envelope", 6.0), service.get("most_waiting") or 1e9
@@ -199,8 +197,7 @@
             self.pace += (self.usual - self.pace) * 0.1
 
     def left(self, proxy, ended=False):
-        """What waits for it is dropped, as much as may be, so that no later answer proves too much. It counts
-        no longer where it can't have left yet. Of a stream that this pilot `ended` all stays counted."""
+        """What waits for it is dropped, as much as may be; what this pilot `ended` itself stays counted."""
         for sending in self.open if ended else ():
             sending.lines[None] = sending.lines.get(None, 0) + sending.lines.pop(proxy, 0)
         self.sent.pop(proxy, None)
@@ -256,8 +253,8 @@
 def solve_spill(demand, capacity, curves, stretch):
     """KurmaCost by greedy quanta: the share of each zone's demand that every zone carries.
 
-    demand: flows a second; capacity: listed weight that is live; curves: points or None; stretch[i][j]: by
-    how much the gap from i to j makes j's load count more. Returns rows that sum to 1. Pure."""
+    demand: flows a second; capacity: live listed weight; curves: points or None; stretch: how much more a
+    gap makes a load count. Rows sum to 1. Pure."""
     zones = range(len(demand))
     live = [z for z in zones if capacity[z] > 0]
     load, share = list(demand), [[float(i == j) for j in zones] for i in zones]
@@ -290,8 +287,7 @@
 
     for i in [z for z in zones if live and capacity[z] <= 0]:   # no live server: sends all, to the lightest
         for _ in range(round(1 / quantum)):
-            more = quantum * demand[i]
-            move(i, min(live, key=lambda j: (load[j] + more) / capacity[j] * stretch[i][j]))
+            move(i, min(live, key=lambda j: (load[j] + quantum * demand[i]) / capacity[j] * stretch[i][j]))
         share[i][i] = 0.0
     while True:                 # feasible: as little as brings every zone under the target
         best = min(((max(missing(i, j, quantum * demand[i]), missing(j, j, quantum * demand[i])), i, j)
@@ -324,8 +320,7 @@
 def spread(needs, strengths):
     """Which part of a zone's endpoints carries each table's flows: its own, then what others have to spare.
 
-    Guards against proxies that each open connections to a whole zone, and against a part that has failed, is
-    cold or meets a heavy proxy: the more it lacks, the more of its table lies elsewhere. Rows sum to 1."""
+    The more a part lacks, the more of its table lies elsewhere. Rows sum to 1."""
     spare = [(1 + SLACK) * s / sum(strengths) for s in strengths]
     needs, rows = [d / (sum(needs) or 1) for d in needs], []
     for own, need in enumerate(needs):
@@ -380,10 +375,10 @@
                 e.order = next(n for n in range(len(taken) + 1) if n not in taken)
             e.zone, e.kind, e.weight = min(zone, self.zones - 1), kind, max(weight, 1e-3)
             if e.state != state:
-                e.state, self.changed = state, self.changed or 1
+                e.state, self.changed = state, max(self.changed, 1 if state == "ready" else NEEDED)
         whole = how != "update"     # then what it does not name is gone
         for e in [e for e in self.endpoints.values() if whole and e.index not in seen and e.state != "gone"]:
-            e.state, self.changed = "gone", self.changed or 1
+            e.state, self.changed = "gone", NEEDED
         self.ask_again, self.vain = self.ask_again if how == "restored" else 0, 0
 
     def list_failed(self):      # a broken subscription is silent: ask again, not all pilots at one time
@@ -421,10 +416,9 @@
         e.misses.add(now, tries, dropped + delivered * min(1.0, latency / self.budget) ** 3)
         self.met.add(now, delivered, delivered * latency)
         if zone == e.zone and zone in self.loads:
-            # a report gives a mean: near the bound part of its tries miss; steps would show it too late
+            # near the bound part of a mean's tries miss; what fails by itself says little of the load
             soft = dropped + (delivered * min(1.0, latency / self.bound) ** 4 if self.bound else 0)
-            part = e.fade(now)      # what fails by itself says little of the load
-            self.curves[zone].add(now, self.loads[zone], part * tries, part * soft)
+            self.curves[zone].add(now, self.loads[zone], e.fade(now) * tries, e.fade(now) * soft)
 
     def asked(self, proxy, group, flows, unanswered, window):
         if (p := self.proxies.get(proxy)) is not None and group < len(self.groups):
@@ -482,7 +476,9 @@
             ramp, most = self.ramp(e), median(warm[e.zone], v)      # proxies that shun the rest would fell it
             spared = warm[e.zone] and most <= FAILING and self.service.get("outlier_after")    # else all cold
             if ramp > LUKEWARM or not spared:
-                out[e.zone][e.index] = e.weight * ramp * (v if ramp == 1 else min(v, most))
+                if ramp < 1:    # of what started before it heard anything a pilot knows no capacity
+                    v = min(v, most) / (self.frail if e.start < (self.first or self.now) else 1.0)
+                out[e.zone][e.index] = e.weight * ramp * v
         return out
 
     def demands(self):
@@ -546,24 +542,36 @@
                         table[index] = max(0.01, round(1000 * self.share[zone][j] * part * s / total, 2))
         return tables
 
+    def changes(self, had, lines, part, least=0.0):
+        """Lines to write, what comes first: moved by a part, and by `least` but for cold ones it has."""
+        def moves(k):
+            before, after, warm = had.get(k, 0.0), lines.get(k, 0.0), self.ramp(self.endpoints[k]) == 1
+            return abs(before - after) > max(least if warm or not before else 0.0, part * max(before, after))
+
+        return [(k, lines.get(k, 0.0)) for k in [*lines, *(k for k in had if k not in lines)] if moves(k)]
+
     def write(self, table, lines, orders, urgent):
         """Turns a table into `lines`, charging every proxy on it; an empty table is never written."""
         had, users = self.lines.setdefault(table, {}), self.users[table]
-        new = [(k, w) for k, w in lines.items()
-               if k not in had or (abs(had[k] - w) > (0.0 if not users else 0.15 * max(had[k], w)))]
-        old = [k for k in had if k not in lines]
-        cost = len(new) + len(old)
-        urgency = WITHDRAWAL if self.has_withdrawn_lines(table) else urgent     # both change what it sends
-        if users and not self.channel.room(cost, users, urgency):
-            self.held[table] = max(self.held.get(table, 0), urgent)
-            return
-        for k, w in [*new, *((k, 0) for k in old)]:     # what comes goes first: a table always has a line
+        changes = self.changes(had, lines, 0.15 if users else 0.0)
+        if users and not self.channel.room(len(changes), users, urgent):
+            self.held[table] = max(self.held.get(table, 0), urgent)     # all of it waits, the worst does not
+            changes = self.changes(had, lines, 0.15, sum(lines.values()) / len(lines) / 2)
+            if not self.presses_cold(had, lines) or not self.channel.room(len(changes), users, WITHDRAWAL):
+                return
+        for k, w in changes:
             orders.line(table, k, w)
-        had.update(new)
-        for k in old:
-            del had[k]
-        self.written_at[table] = self.now
-        self.channel.charge(users if cost else (), cost)
+            had[k] = w
+        self.lines[table], self.written_at[table] = {k: w for k, w in had.items() if w}, self.now
+        self.channel.charge(users if changes else (), len(changes))
+
+    def presses_cold(self, had, lines):
+        """Whether a table, less what left the list, sends a cold one far more than planned, or is empty."""
+        kept = {k: w for k, w in had.items() if self.open(self.endpoints[k])}
+        most = max(1.0, self.rules.get("fall_multiple", 4.0) / 2) * sum(kept.values()) / sum(lines.values())
+        even, ramps = sum(lines.values()) / len(lines), {k: self.ramp(self.endpoints[k]) for k in kept}
+        return not kept or any(w > most * max(lines.get(k, 0.0), even * ramps[k]) and ramps[k] < 1
+                               for k, w in kept.items())
 
     def bind(self, index, table, orders, urgent):
         lines = self.lines.get(table)
@@ -577,15 +585,15 @@
         return True
 
     # --- the list ---
-    def follow_list(self, orders):
-        """Draining or gone is benched at once for every proxy, bound or not; what returns is let in again."""
-        for e in [e for e in self.endpoints.values() if self.open(e) == e.benched]:
+    def follow_list(self, changed, orders):
+        """What left is shut out at once by all who hold it; what returns comes in once no old table waits."""
+        late = set().union(*(self.lines.get(t, ()) for t in self.held))
+        for e in [e for e in changed if not e.benched or e.index not in late]:
             holding = [i for t, had in {None: (e.index,), **self.lines}.items() if e.index in had
                        for i in self.users[t]]
             if self.channel.room(1, holding, 1 if e.benched else WITHDRAWAL):
                 e.benched = not e.benched
                 orders.bench(e.index, e.benched)
-                self.changed = max(self.changed, NEEDED if e.benched else 1)
                 self.channel.charge(holding, 1)
 
     def plan(self, orders, urgent, only=()):
@@ -595,6 +603,7 @@
             latest = max([e.start for e in here], default=0)
             old = [e for e in here if e.start < self.now - RETURN]
             lone = latest > self.now - RETURN and not any(e.latency.read(self.now)[0] > 0.5 for e in old)
+            lone = lone and (self.met.read(self.now)[0] > 20 or 2 * len(old) <= len(here))  # none heard
             for e in old if lone else ():
                 e.start = latest
         strengths = self.strengths()
@@ -624,18 +633,10 @@
         needs = self.needs()
         planned = [((zone, n), lines) for zone in sorted({p.zone for p in self.proxies.values()})
                    for n, lines in enumerate(self.wanted(zone, strengths, needs[zone])) if lines]
-        for place, lines in sorted(planned, key=lambda table: self.write_priority(table[0])):
+        # first what was written longest ago: there may be room for a few only, again and again
+        for place, lines in sorted(planned, key=lambda p: self.written_at.get(self.current.get(p[0]), 0)):
             self.renew(place, lines, levels, orders, urgent, only)
 
-    def write_priority(self, place):
-        """Sort key: tables with withdrawn lines first, then those written longest ago, lest any starve."""
-        table = self.current.get(place, -1)
-        return not self.has_withdrawn_lines(table), self.written_at.get(table, 0)
-
-    def has_withdrawn_lines(self, table):
-        """Whether its other lines, cold ones too, carry the flows of withdrawn ones until it is rewritten."""
-        return any(self.endpoints[k].benched for k in self.lines.get(table, ()))
-
     def renew(self, place, lines, levels, orders, urgent, only):
         table = self.current.setdefault(place, 2 * (place[0] + self.zones * place[1]))
         had, old = self.lines.get(table), self.users[table ^ 1]
@@ -652,9 +653,7 @@
                 self.current[place] = table ^ 1
 
     def let_in(self, strength, demand, learn):
-        """Part of the demand that endpoints can do: weight over the time a flow takes, corrected by misses.
-
-        Guards against a jam that feeds itself: late work, further tries and clients that ask again."""
+        """Part of the demand that endpoints can do: weight over a flow's time, corrected by misses."""
         delivered, took = self.met.read(self.now)
         if delivered > 20:
             self.work = min(self.work or 1e9, took / delivered / SECOND, self.budget / 3 / SECOND)
@@ -723,15 +722,16 @@
         if self.ask_again and now >= self.ask_again:
             orders.observe(True)
             self.ask_again = now + 5 * SECOND
-        self.follow_list(orders)
         new = list(self.users[None])
         if any(self.proxies[i].part is None for i in new):
             self.deal()
         if self.changed or any(self.target(self.proxies[i]) is None for i in new):
             urgent, self.changed, self.held = self.changed or 1, 0, {}
             self.plan(orders, urgent)
-        for i in new:
-            self.bind(i, self.target(self.proxies[i]), orders, JOINING)
+        changed = [e for e in self.endpoints.values() if self.open(e) == e.benched]
+        for i in new:       # a table costs less than to shut out all that has left one by one
+            self.bind(i, self.target(self.proxies[i]), orders, WITHDRAWAL if changed else JOINING)
+        self.follow_list(changed, orders)
         if now >= self.next_beat:
             self.next_beat = now + BEAT
             self.plan(orders, False)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -727,3 +727,46 @@
         controller.channel.beyond(1400)     # of the 1,500 behind which a table waits
         made.hear(("listed", ("update", entries)))
     assert set(made.kept.bound.values()) <= written
+
+
+def test_proxies_that_come_while_many_endpoints_leave_are_given_tables_and_not_each_withdrawal(pilot):
+    """A pilot that is left alone gets all proxies during a release: a withdrawal for each would fill its channel for good."""
+    made = fleet_of_small_tables(pilot, proxy_count=400, most_waiting=8000)
+    made.controller.channel.beyond(4500)    # 4.5 s of queue: nobody is bound behind that as long as nothing drains
+    draining = tuple((i, i // 24, 0, 0, "draining", 4.0, 0) for i in range(48) if i % 3 == 0)
+    comers = [("joined", (n, n % 2, 10.0, False)) for n in range(100, 250)]
+    made.hear(*comers, ("listed", ("update", draining)))
+    assert all(n in made.kept.bound for n in range(100, 250))
+    held = {k for n in made.kept.bound for k in made.kept.tables[made.kept.bound[n]]} - made.kept.out
+    assert held and not held & {entry[0] for entry in draining}
+    assert made.controller.channel.waiting < 0.88 * 8000
+
+
+def test_a_cold_endpoint_that_started_before_the_pilot_gets_little(pilot):
+    """A pilot that was killed and starts again knows neither what others send it nor what the fleet can do."""
+    shares = []
+    for age in (2 * SECOND, -1 * SECOND):   # the endpoint's start before and after the first report
+        made = pilot(proxies=4, rules={"cold_share": 0.2, "fall_multiple": 2.5, "warm_after_us": 16 * SECOND})
+        started = made.now - age
+        made.run(1, lambda second: [met(z, i) for z, i in ((0, 0), (0, 1), (1, 2), (1, 3))])
+        entries = tuple((i, i // 2, 0, 0, "ready", 4.0, started if i == 0 else 0) for i in range(4))
+        made.now = max(made.now, started + 4 * SECOND)
+        made.hear(("listed", ("replace", entries)))
+        made.now = started + 5 * SECOND
+        made.controller.plan(made.kept, 2)
+        shares.append(made.load(0))
+    assert 0 < shares[0] < 0.6 * shares[1]
+
+
+def test_a_returned_endpoint_is_let_back_once_no_table_waits_that_holds_it_at_its_old_weight(pilot):
+    made = pilot()
+    made.run(2, lambda second: [met(z, i) for z, i in ((0, 0), (0, 1), (1, 2), (1, 3))])
+    table = made.controller.current[0, 0]
+    made.controller.write = lambda *rest: made.controller.held.setdefault(table, 2)     # no room for any table
+    made.hear(listed("grrr", how="update"))
+    assert made.kept.out == {0} and 0 in made.kept.tables[table]
+    made.hear(("listed", ("update", ((0, 0, 0, 0, "ready", 4.0, made.now),))))
+    assert made.kept.out == {0}
+    del made.controller.write
+    made.run(1)
+    assert made.kept.out == set() and 0 < made.load(0) < 0.3
