--- /dev/null
+++ b/standins/fleet/pilots.py
@@ -0,0 +1,89 @@
+"""A pilot: the control plane's module behind its own rounds."""
+from typing import TYPE_CHECKING, Callable, Mapping
+
+from ravenshelf.memory.counters import Counters
+from ravenshelf.memory.listing import Listing
+from ravenshelf.memory.sent import Sent
+from ravenshelf.process.rounds import Rounds
+from standins.fleet.channels import Channel
+from standins.fleet.proxies import Proxy
+from standins.fleet.snapshots import ListSnapshot
+
+if TYPE_CHECKING:
+    from standins.fleet.simulation import Simulation
+
+FIRST_SEED = 100
+SEEDS_BETWEEN_STARTS = 1000
+
+
+class Pilot:
+    """The module behind the pilot's own rounds."""
+
+    def __init__(self, number: int, settings: dict, world: "Simulation", channel: Callable[["Pilot"], Channel],
+                 restored: ListSnapshot, starts: int = 0):
+        """`restored` is the list as this pilot last had it; `starts` counts its earlier processes."""
+        self.number, self.world, self.alive, self.watching = number, world, True, False
+        self.starts = starts
+        self.rev = 0                # of the list that it was told
+        self.called = False         # whether a call waits for its answer
+        self.counters, self.sent = Counters(), Sent(len(settings["traffic_groups"]), False)
+        self.listing = Listing(lambda: world.now, self.sent.holds)
+        seed = FIRST_SEED + number + SEEDS_BETWEEN_STARTS * starts
+        self.rounds = Rounds(settings, seed, self.listing, self.sent, self.counters)
+        self.wakes: list[int] = []
+        self.known_starts: Mapping[str, int] = {}       # endpoint: its newest start that this pilot was told
+        self.known_since: dict[tuple[str, int], int] = {}
+        self.channel = channel(self)
+        self._take("replace", restored)
+        self.rounds.begin()
+        self.round()
+
+    def take(self, how: str) -> tuple:
+        """Takes the present list; gives what the module is to be told."""
+        return self._take(how, self.world.snapshot())
+
+    def _take(self, how: str, snapshot: ListSnapshot) -> tuple:
+        self.rev = snapshot.rev
+        entries = [(self.listing.endpoint(entry.name), entry.zone, 0, 0, entry.state, entry.weight, entry.started)
+                   for entry in snapshot.entries]
+        self.known_starts = {entry.name: entry.started for entry in snapshot.entries}
+        for start in self.known_starts.items():
+            self.known_since.setdefault(start, self.world.now)
+        return self.listing.take(how, snapshot.rev + 1, entries, {})
+
+    def hear(self, name: str, *values) -> None:
+        self.rounds.hear(name, values)
+
+    def due(self) -> bool:
+        return bool(self.rounds.news) or any(at <= self.world.now for at in self.wakes)
+
+    def round(self) -> None:
+        self.wakes = [at for at in self.wakes if at > self.world.now]
+        for name, *values in self.rounds.run(self.world.now, self.write) or ():
+            if name == "wake":
+                self.wakes.append(values[0])
+            elif name == "observe":
+                self.watching = False
+                self.world.discovery.call(self)
+
+    def write(self, proxy: int, message: bytes, ticket: int | None) -> None:
+        self.world.lines[self.number] = self.world.lines.get(self.number, 0) + message.count(b":") + 3
+        self.channel.send(self.world.proxies[proxy], message.decode(), ticket, self.known_starts)
+
+    def arrived(self, proxy: Proxy, message: str, ticket: int | None, took: int, starts: Mapping[str, int]) -> None:
+        """A message reaches its proxy, unless the stream has broken since."""
+        if proxy.pilot is not self or not self.alive:
+            return
+        proxy.obey(message)
+        proxy.table_from, proxy.informed = self, starts
+        if ticket is not None:
+            self.world.later(took, lambda: self._answered(proxy, ticket, took))
+
+    def _answered(self, proxy: Proxy, ticket: int, took: int) -> None:
+        if proxy.pilot is self:
+            self.hear("applied", proxy.number, ticket, took)
+
+    def has_known(self, name: str, started: int, span: int) -> bool:
+        """Whether it was told of a start so long ago."""
+        since = self.known_since.get((name, started))
+        return since is not None and self.world.now - since >= span
