--- a/standins/fleet/__init__.py
+++ b/standins/fleet/__init__.py
@@ -5,5 +5,7 @@
 """
 from standins.fleet.discovery import Discovery
 from standins.fleet.flow_world import World
+from standins.fleet.parameters import Parameters
+from standins.fleet.request_world import RequestWorld
 
-__all__ = ["Discovery", "World"]
+__all__ = ["Discovery", "Parameters", "RequestWorld", "World"]
--- a/standins/fleet/pilots.py
+++ b/standins/fleet/pilots.py
@@ -43,7 +43,7 @@
         return self._take(how, self.world.snapshot())
 
     def _take(self, how: str, snapshot: ListSnapshot) -> tuple:
-        self.rev = snapshot.rev
+        self.rev, self._restored = snapshot.rev, snapshot
         entries = [(self.listing.endpoint(entry.name), entry.zone, 0, 0, entry.state, entry.weight, entry.started)
                    for entry in snapshot.entries]
         self.known_starts = {entry.name: entry.started for entry in snapshot.entries}
@@ -51,6 +51,10 @@
             self.known_since.setdefault(start, self.world.now)
         return self.listing.take(how, snapshot.rev + 1, entries, {})
 
+    def restored_list(self) -> ListSnapshot:
+        """The list as its next process finds it."""
+        return self._restored
+
     def hear(self, name: str, *values) -> None:
         self.rounds.hear(name, values)
 
