--- a/standins/fleet/budget.py
+++ b/standins/fleet/budget.py
@@ -77,7 +77,7 @@
     """Each window that ends with a try at the cold endpoint: its work over its budget, and what an excess would say."""
     held: deque[SentWork] = deque()
     for work in sorted(sent, key=lambda work: work.at):
-        if not start.covers(work.at):
+        if not start.covers(work.at) or work.work <= 0:
             continue
         held.append(work)
         while held[0].at <= work.at - rule.window:
--- a/standins/fleet/discovery.py
+++ b/standins/fleet/discovery.py
@@ -2,7 +2,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from standins.fleet.clock import SECOND
+from standins.fleet.clock import SECOND, TICK
 
 if TYPE_CHECKING:
     from standins.fleet.pilots import Pilot
@@ -38,7 +38,7 @@
             self.calls.append((at, pilot.number, "failed" if failed else "answered"))
             pilot.called = False
             if not self.down:       # a call that has waited too long costs its turn as well
-                self.free = now + self.each
+                self.free = (self.free if self.free > now - TICK else now) + self.each   # several calls fit in a tick
             if failed:
                 pilot.hear("list_failed")
             else:
--- a/standins/fleet/parameters.py
+++ b/standins/fleet/parameters.py
@@ -27,7 +27,12 @@
 
 @dataclass(frozen=True)
 class Parameters:
-    """Sizes, network, clients and rules of a world."""
+    """Sizes, network, clients and rules of a world.
+
+    What the figures rest on: network, channel, list, reports, shunning, clients, rules and capacities on the ranges that
+    the operators of a deployment with two zones state for it (small ones in the middle, spreads where a range is given);
+    places on its slots and queue for each core; sizes on fleets of 1 to 50 proxies a pilot, up to 320 at full size.
+    """
     pilots: int = 5
     zones: int = 2
     servers: int = 7            # of a zone
--- a/standins/fleet/request_world.py
+++ b/standins/fleet/request_world.py
@@ -15,7 +15,7 @@
 from standins.fleet.streams import Streams
 from standins.fleet.traffic import Request, Traffic, lognormal
 
-CHANCE_DEVIATIONS = 2.0         # the budget's slack for chance, in standard deviations
+CHANCE_DEVIATIONS = 1.0         # the budget's slack for chance, in standard deviations: 3.2 times for 2.5 is over it
 SPEED_LEAST, SPEED_MOST = 0.4, 2.0
 USUAL_ERROR = 0.1               # of what a proxy says that it usually receives
 
--- a/standins/fleet/servers.py
+++ b/standins/fleet/servers.py
@@ -71,7 +71,7 @@
         """`capacity` is seconds of work a second, over all `cores`."""
         super().__init__(name, zone, capacity)
         self.cores, self.places, self.slowed = cores, places, 1.0
-        self.held, self.free_at = 0, 0
+        self.held, self.free_at, self.processes = 0, 0, 0
 
     def strength(self, now: int) -> float:
         return super().strength(now) / self.slowed
@@ -90,12 +90,15 @@
         alone = now + round(work * self.cores / rate * SECOND)      # one try runs on one core
         return Answer(Outcome.SERVED, max(self.free_at, alone) - now)
 
-    def release(self) -> None:
-        self.held -= 1
+    def release(self, process: int) -> None:
+        """A try that this process took has ended; those of an earlier one ended with it."""
+        if process == self.processes:
+            self.held -= 1
 
     def restart(self, now: int) -> None:
         """The process begins anew: cold, and with an empty queue."""
-        self.started, self.state, self.free_at = now, "ready", now
+        self.started, self.state, self.free_at, self.held = now, "ready", now, 0
+        self.processes += 1
 
     def successor(self, now: int) -> "QueueServer":
         new = QueueServer(f"{self.name}'", self.zone, self.capacity, self.cores, self.places)
--- a/standins/fleet/trace.py
+++ b/standins/fleet/trace.py
@@ -32,10 +32,12 @@
     def __str__(self) -> str:
         shares = " ".join(f"{share:.2f}x{count}" for share, count in self.table_shares)
         believed = f"{self.believed[0]:.2f}-{self.believed[-1]:.2f}" if self.believed else "none"
-        return (f"{self.age:5.2f} ramp {self.ramp:.2f} believed {believed} | held by {self.holding} ({self.foreign} foreign, "
-                f"{self.unjoined} unjoined, {self.shunning} shunning, {self.lines_left:.1f} lines left) shares {shares} | "
-                f"level {self.level:.2f}, {self.unlimited} without | expected {self.expected:.1f}/s, sent {self.first:.1f} "
-                f"+ {self.repeated:.1f}/s, can do {self.can_do:.1f}/s, {(self.first + self.repeated) / self.can_do:.1f} times")
+        times = (self.first + self.repeated) / self.can_do
+        return (f"{self.age:5.2f} ramp {self.ramp:.2f} believed {believed} | "
+                f"held by {self.holding} ({self.foreign} foreign, {self.unjoined} unjoined, {self.shunning} shunning, "
+                f"{self.lines_left:.1f} lines left) shares {shares} | level {self.level:.2f}, {self.unlimited} without | "
+                f"expected {self.expected:.1f}/s, sent {self.first:.1f} + {self.repeated:.1f}/s, "
+                f"can do {self.can_do:.1f}/s, {times:.1f} times")
 
 
 class Trace:
--- a/standins/fleet/traffic.py
+++ b/standins/fleet/traffic.py
@@ -85,7 +85,7 @@
         taken = server.held
         answer = server.offer(now, request.work, self.errors.random() < server.failing)
         if server.held > taken:
-            self.events.later(answer.after, server.release)
+            self.events.later(answer.after, lambda process=server.processes: server.release(process))
         answer = self._awaited(request, answer)
         self.events.later(answer.after, lambda: self._answered(request, server, answer))
 
