A cold line that would be pressed leaves a table that has to wait

A share of the table of 0.08 looks harmless, so the table waited for room as it was.

Change: Controller.pressed counts what the largest line may leave to the others as well; where a table finds no room, its pressed cold lines leave it at once (one line a proxy) and come back with the whole table. Only where none but such lines are left is the table written whole with the urgency of a withdrawal. That takes the place of the short form, which wrote several lines.

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -343,6 +343,7 @@
     def __init__(self, provisioning, seed, channel=None):
         self.provisioning, self.groups = provisioning, provisioning.get("traffic_groups", [])
         self.service, self.rules = provisioning.get("service", {}), provisioning.get("rules", {})
+        self.spare = max(1.0, self.rules.get("fall_multiple", 4.0) / 2)  # over its plan: half of what fells
         self.frail = max(1.0, 3 / max(0.1, self.rules.get("fall_multiple", 4.0) - 1))  # cold ones fall
         self.zones, self.chance = max(1, len(provisioning.get("zones", []))), random.Random(seed)
         self.channel = channel or Channel(self.service)     # one that another module has filled goes on
@@ -542,22 +543,19 @@
                         table[index] = max(0.01, round(1000 * self.share[zone][j] * part * s / total, 2))
         return tables
 
-    def changes(self, had, lines, part, least=0.0):
-        """Lines to write, what comes first: moved by a part, and by `least` but for cold ones it has."""
-        def moves(k):
-            before, after, warm = had.get(k, 0.0), lines.get(k, 0.0), self.ramp(self.endpoints[k]) == 1
-            return abs(before - after) > max(least if warm or not before else 0.0, part * max(before, after))
-
-        return [(k, lines.get(k, 0.0)) for k in [*lines, *(k for k in had if k not in lines)] if moves(k)]
-
     def write(self, table, lines, orders, urgent):
         """Turns a table into `lines`, charging every proxy on it; an empty table is never written."""
         had, users = self.lines.setdefault(table, {}), self.users[table]
-        changes = self.changes(had, lines, 0.15 if users else 0.0)
+        part = 0.15 if users else 0.0
+        changes = [(k, w) for k, w in lines.items() if abs(had.get(k, 0) - w) > part * max(had.get(k, 0), w)]
+        changes += [(k, 0.0) for k in had if k not in lines]    # comes last: the table always has a line
         if users and not self.channel.room(len(changes), users, urgent):
-            self.held[table] = max(self.held.get(table, 0), urgent)     # all of it waits, the worst does not
-            changes = self.changes(had, lines, 0.15, sum(lines.values()) / len(lines) / 2)
-            if not self.presses_cold(had, lines) or not self.channel.room(len(changes), users, WITHDRAWAL):
+            self.held[table] = max(self.held.get(table, 0), urgent)
+            kept = {k: w for k, w in had.items() if self.open(self.endpoints[k])}
+            pressed = self.pressed(kept, lines)
+            if len(pressed) < len(kept):    # the table waits, without what would be sent too much
+                changes = [(k, 0.0) for k in pressed]
+            if not changes or not self.channel.room(len(changes), users, WITHDRAWAL):
                 return
         for k, w in changes:
             orders.line(table, k, w)
@@ -565,13 +563,13 @@
         self.lines[table], self.written_at[table] = {k: w for k, w in had.items() if w}, self.now
         self.channel.charge(users if changes else (), len(changes))
 
-    def presses_cold(self, had, lines):
-        """Whether a table, less what left the list, sends a cold one far more than planned, or is empty."""
-        kept = {k: w for k, w in had.items() if self.open(self.endpoints[k])}
-        most = max(1.0, self.rules.get("fall_multiple", 4.0) / 2) * sum(kept.values()) / sum(lines.values())
-        even, ramps = sum(lines.values()) / len(lines), {k: self.ramp(self.endpoints[k]) for k in kept}
-        return not kept or any(w > most * max(lines.get(k, 0.0), even * ramps[k]) and ramps[k] < 1
-                               for k, w in kept.items())
+    def pressed(self, kept, lines):
+        """Cold lines far over their plan once what left the list, or the largest line, falls to others."""
+        held, planned = sum(kept.values()), sum(lines.values())
+        over = self.spare * min(held, 2 * (held - max(kept.values(), default=0.0))) / planned
+        ramps = {k: self.ramp(self.endpoints[k]) for k in kept}
+        return {k for k, w in kept.items()
+                if ramps[k] < 1 and w > over * max(lines.get(k, 0.0), planned / len(lines) * ramps[k])}
 
     def bind(self, index, table, orders, urgent):
         lines = self.lines.get(table)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -770,3 +770,20 @@
     del made.controller.write
     made.run(1)
     assert made.kept.out == set() and 0 < made.load(0) < 0.3
+
+
+def test_a_cold_line_beside_one_dominant_line_leaves_a_table_that_waits(pilot):
+    """What a dominant line refuses is tried again at the others: two of four drained, one warm and the cold one are left."""
+    made = fleet_of_small_tables(pilot)
+    cold = 47
+    made.hear(("listed", ("update", ((cold, 1, 0, 0, "ready", 4.0, made.now - 6 * SECOND),))))
+    made.run(1)
+    table = next(t for t in set(made.kept.bound.values()) if made.kept.tables[t].get(cold, 0) > 10)
+    dominant = next(k for k in made.kept.tables[table] if k != cold)
+    made.controller.channel.beyond(2000)    # no room for whole tables, only for what cannot wait
+    draining = set(made.kept.tables[table]) - {cold, dominant}
+    made.hear(("listed", ("update", tuple((i, i // 24, 0, 0, "draining", 4.0, 0) for i in sorted(draining)))))
+    left = {k for k in made.kept.tables[table] if k not in made.kept.out}
+    assert table in made.controller.held and left == {dominant}
+    made.run(8, lambda second: [met(i // 24, i) for i in range(48) if i not in draining])
+    assert any(cold in made.kept.tables[t] for t in set(made.kept.bound.values()))     # it comes with the whole table
