An endpoint that ramps waits where heavy proxies may shun all the others

Seen in the small world, followed each half second: "23.5 px 1 lines 10 shun 4 cold planned 0.068 real 0.16", "24.0 px 1 lines 10 shun 7 cold planned 0.068 real 0.54": a proxy with 139 flows a second shuns its warm lines within half a second; its pilot hears of it 1 to 3 s later. Controller.strengths left the cold line out only where the middle of the zone was heard to fail. Ruled out: every cut of the weight (by frail, 4, 10, the number of warm lines: 5.34, 3.67, 2.55, 3.44 times what it could do), for where the last warm line is shunned the cold one has all.

Change: no line for an endpoint that ramps where the proxy that a flow comes to sends a line more flows a second than the failures in a row that shun it, and three warm ones are there. No constant is new. Folded: two assignments, a docstring line.

--- a/ravenshelf/rules.py
+++ b/ravenshelf/rules.py
@@ -66,9 +66,8 @@
 
 class Proxy:
     def __init__(self, zone, usual, groups):
-        self.zone, self.usual, self.table, self.part = zone, usual, None, None
-        self.flows = Decaying(DEMAND_SPAN, 2 * groups)      # flows of each group; seconds counted
-        self.asks, self.read = None, None       # demand as last read, and when
+        self.zone, self.usual, self.flows = zone, usual, Decaying(DEMAND_SPAN, 2 * groups)  # flows, seconds
+        self.table = self.part = self.asks = self.read = None   # the last two: demand as last read, and when
 
     def demand(self, now):
         """Flows a second of each group; None as long as nothing was heard."""
@@ -253,8 +252,7 @@
 def solve_spill(demand, capacity, curves, stretch):
     """KurmaCost by greedy quanta: the share of each zone's demand that every zone carries.
 
-    demand: flows a second; capacity: live listed weight; curves: points or None; stretch: how much more a
-    gap makes a load count. Rows sum to 1. Pure."""
+    demand: flows a second; capacity: live weight; curves: points or None; stretch: of a load by a gap."""
     zones = range(len(demand))
     live = [z for z in zones if capacity[z] > 0]
     load, share = list(demand), [[float(i == j) for j in zones] for i in zones]
@@ -473,10 +471,13 @@
             known[e] = e.fade(self.now) * min(PACE_MOST, max(PACE_LEAST, pace))
         known.update((e, known[e] * part) for z in range(self.zones) for e, part in self.crowding(z).items())
         warm = [[v for e, v in known.items() if e.zone == z and self.ramp(e) == 1] for z in range(self.zones)]
+        flows = [max(p.usual, sum(p.demand(self.now) or ())) for p in self.proxies.values()]
+        heavy, shuns = sum(f * f for f in flows) / (sum(flows) or 1), self.service.get("outlier_after", 0)
         for e, v in known.items():      # one of which little was heard is not the best of a failing zone
-            ramp, most = self.ramp(e), median(warm[e.zone], v)      # proxies that shun the rest would fell it
-            spared = warm[e.zone] and most <= FAILING and self.service.get("outlier_after")    # else all cold
-            if ramp > LUKEWARM or not spared:
+            ramp, most, z = self.ramp(e), median(warm[e.zone], v), e.zone   # if all shun the rest, it falls
+            soon = len(warm[z]) >= PART_ENDPOINTS and heavy * max(1, self.parts[z]) > shuns * len(warm[z])
+            spared = shuns and warm[z] and (ramp < 1 and soon or ramp <= LUKEWARM and most <= FAILING)
+            if not spared:              # else all cold
                 if ramp < 1:    # of what started before it heard anything a pilot knows no capacity
                     v = min(v, most) / (self.frail if e.start < (self.first or self.now) else 1.0)
                 out[e.zone][e.index] = e.weight * ramp * v
@@ -604,8 +605,7 @@
             lone = lone and (self.met.read(self.now)[0] > 20 or 2 * len(old) <= len(here))  # none heard
             for e in old if lone else ():
                 e.start = latest
-        strengths = self.strengths()
-        own, demand = self.demands()
+        strengths, (own, demand) = self.strengths(), self.demands()
         capacity, listed, usable = [0.0] * self.zones, [0.0] * self.zones, self.usable()
         for e in usable:
             capacity[e.zone] += e.weight * self.ramp(e) * e.fade(self.now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -386,6 +386,21 @@
     assert least <= p.load(0) <= most and not p.kept.emptied
 
 
+@pytest.mark.parametrize("flows, warm, shuns, held_back", [
+    (100.0, 3, 5, True),        # 33 a second for each warm line: shunned within a second of failing
+    (10.0, 3, 5, False),        # light proxies: the late sums tell sooner
+    (100.0, 2, 5, False),       # too few warm ones to do without it
+    (100.0, 3, 0, False)])      # nobody shuns
+def test_a_cold_endpoint_waits_where_heavy_proxies_may_shun_all_the_others(pilot, flows, warm, shuns, held_back):
+    p = pilot("", service={"outlier_after": shuns})
+    entries = [(i, 0, 0, 0, "ready", 4.0, 0) for i in range(warm)] + [(warm, 0, 0, 0, "ready", 4.0, p.now)]
+    p.hear(("listed", ("replace", tuple(entries))), *[("joined", (i, 0, flows, True)) for i in range(2)])
+    p.run(1)
+    assert (p.load(warm) == 0) is held_back
+    p.run(20)       # warm by then
+    assert p.load(warm) == pytest.approx(1 / (warm + 1), abs=0.05) and not p.kept.emptied
+
+
 def test_the_first_of_a_failing_zone_that_is_half_warm_is_not_left_alone_with_it(pilot):
     """bahir-dar-credit, zone, seed 21: all of a zone came back cold and failed; the first past half of its ramp got all."""
     p = pilot("rrrr", service={"outlier_after": 3})
