Interest-scoped distribution: decision core, virtual network, checker of schedules

Need: the size that is coming (18,000 pilots, 1,200 services): no pilot can list, hear and solve all services. A service is to be decided once, by the controller that holds its shard's lease, and its tables are to reach the pilots that call it and no others.

Found by the checker and mended, each with a test: a restarted owner never published a topic that was subscribed to before its lease was granted (schedule 59: "pilot-22 service-4@1 holds Version(epoch=1, sequence=2)" at the end; Owner.acquire looked at self.topics alone); iteration over a set made schedules differ by hash seed; ranking a whole level for each node took minutes.

--- /dev/null
+++ b/ravenshelf/distribution/decisions/ownership.py
@@ -0,0 +1,64 @@
+"""Which controller decides a service: shards, replicas, claims under epochs, and the right to publish.
+
+Services fall into the shards that `leadership` divides among the living controllers by rendezvous hashing and grants by
+leases; the term of a shard's lease is the epoch of all that its owner publishes.
+"""
+from dataclasses import dataclass
+from typing import Mapping
+
+import xxhash
+
+from ravenshelf.leadership.dividing import rank
+
+REPLICAS = 2        # controllers that hold a service's topics besides its owner
+
+
+def shard_of_service(service: str, shards: int) -> int:
+    """The shard of a service, the same at every controller."""
+    return xxhash.xxh64_intdigest(service.encode()) % shards
+
+
+def replicas(shard: int, owner: int, weights: Mapping[int, float], count: int = REPLICAS) -> list[int]:
+    """The controllers that stand ready to take a shard over, the likeliest successor first."""
+    return [member for member in rank(shard, weights) if member != owner][:count]
+
+
+@dataclass(frozen=True)
+class Claim:
+    """A controller says that it owns a service, under an epoch."""
+    owner: str
+    epoch: int
+
+
+class OwnershipView:
+    """What a relay has heard of owners: for each service the claim of the latest epoch, whoever made it."""
+
+    def __init__(self) -> None:
+        self._claims: dict[str, Claim] = {}
+
+    def hear(self, service: str, claim: Claim) -> bool:
+        """Takes a claim; True where it changes who owns the service."""
+        known = self._claims.get(service)
+        if known is not None and claim.epoch <= known.epoch:
+            return False
+        self._claims[service] = claim
+        return known is None or known.owner != claim.owner
+
+    def claim(self, service: str) -> Claim | None:
+        """The latest claim; None where nobody has claimed the service."""
+        return self._claims.get(service)
+
+
+class Tenure:
+    """An owner's right to publish: its lease, by its own clock, which must go on while the process stands still."""
+
+    def __init__(self, epoch: int, good_until: int):
+        self.epoch, self.good_until = epoch, good_until
+
+    def renew(self, good_until: int) -> None:
+        """The lease has been prolonged."""
+        self.good_until = max(self.good_until, good_until)
+
+    def may_publish(self, now: int) -> bool:
+        """To be asked right before each write: a process that was paused finds its lease lapsed."""
+        return now < self.good_until
--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,501 @@
+"""Decisions of the distribution, each by itself: topics, publication, distributor, client, backoff, aggregation, planner."""
+import random
+from collections import Counter
+from itertools import count
+
+import pytest
+
+from ravenshelf.distribution.decisions.aggregation import Aggregator
+from ravenshelf.distribution.decisions.allowance import largest_share, shares
+from ravenshelf.distribution.decisions.backoff import SECOND, Backoff, TokenBucket
+from ravenshelf.distribution.decisions.claims import claims_topic, read_claims, service_claim
+from ravenshelf.distribution.decisions.client import Dial, HangUp, Send, State, SubscriptionClient, TopicChanged
+from ravenshelf.distribution.decisions.distributor import Distributor, DistributorLimits
+from ravenshelf.distribution.decisions.fallback import HOLD_FOR, PilotService, Source
+from ravenshelf.distribution.decisions.owner import Owner
+from ravenshelf.distribution.decisions.ownership import Claim, OwnershipView, Tenure, replicas, shard_of_service
+from ravenshelf.distribution.decisions.planner import ServicePlanner, endpoints_of, table_of
+from ravenshelf.distribution.decisions.publication import FLUSH_EVERY, Publication
+from ravenshelf.distribution.decisions.topics import PART_ENTRIES, Outcome, Topic
+from ravenshelf.distribution.decisions.tree import levels, parents_of_all
+from ravenshelf.distribution.messages import (
+    NEVER, Delta, EndpointEntry, EndpointSums, GroupSums, Heartbeat, MessageError, Report, Resync, Setting, Snapshot,
+    Subscribe, TableLine, Unsubscribe, Version, decode, encode)
+from ravenshelf.provisioning import provisioning
+from ravenshelf.rules import solve_spill
+
+NOW = 1000 * SECOND
+ONE, TWO = Setting("1"), Setting("2")
+
+
+def version(epoch: int, sequence: int) -> Version:
+    return Version(epoch, sequence)
+
+
+def holding(epoch: int, sequence: int, **entries) -> Topic:
+    topic = Topic("t")
+    topic.replace(version(epoch, sequence), dict(entries))
+    return topic
+
+
+def delta(since: Version, to: Version, **changes) -> Delta:
+    return Delta("t", since, to, changes)
+
+
+# --- messages ---
+
+@pytest.mark.parametrize("message", [
+    Subscribe("t", NEVER), Unsubscribe("t"), Snapshot("t", version(1, 2), 0, 1, {"t:a": TableLine(1.5, 0.2)}),
+    Delta("t", NEVER, version(1, 1), {"e:a": EndpointEntry(3, True, 2.0, 5), "c:x": None}), Heartbeat(2 ** 64 - 1),
+    Resync({"t": version(4, 5)}), Report("s", 1, 7, "r", 8, {"a": EndpointSums(3, 1, 9)}, {0: GroupSums(4)})])
+def test_messages_come_back_as_they_were_sent(message):
+    assert decode(encode(message)) == message
+
+
+@pytest.mark.parametrize("data", [b"", b"\x00", b"\x93\x01", encode(Subscribe("t", NEVER))[:-1], b"\xc1" * 9])
+def test_bytes_that_are_no_message_are_refused(data):
+    with pytest.raises(MessageError):
+        decode(data)
+
+
+# --- topics: what is applied, what is refused ---
+
+@pytest.mark.parametrize("message, outcome, entries", [
+    (delta(version(2, 3), version(2, 4), a=TWO), Outcome.APPLIED, {"a": TWO}),
+    (delta(version(2, 1), version(2, 4), a=TWO), Outcome.APPLIED, {"a": TWO}),      # covers more than is needed
+    (delta(version(2, 3), version(2, 4), a=None), Outcome.APPLIED, {}),
+    (delta(version(2, 2), version(2, 3), a=TWO), Outcome.DUPLICATE, {"a": ONE}),
+    (delta(version(2, 4), version(2, 5), a=TWO), Outcome.GAP, {"a": ONE}),
+    (delta(version(1, 8), version(1, 9), a=TWO), Outcome.STALE_EPOCH, {"a": ONE}),
+    (delta(version(2, 3), version(3, 1), a=TWO), Outcome.APPLIED, {"a": TWO}),      # handed over from what we hold
+    (delta(version(2, 2), version(3, 1), a=TWO), Outcome.GAP, {"a": ONE}),          # the successor knew less
+    (delta(version(2, 4), version(3, 1), a=TWO), Outcome.GAP, {"a": ONE}),
+    (Snapshot("t", version(2, 3), 0, 1, {"a": TWO}), Outcome.DUPLICATE, {"a": ONE}),
+    (Snapshot("t", version(1, 99), 0, 1, {"a": TWO}), Outcome.STALE_EPOCH, {"a": ONE}),
+    (Snapshot("t", version(3, 1), 0, 1, {"b": TWO}), Outcome.APPLIED, {"b": TWO}),
+    (Snapshot("t", version(3, 1), 0, 2, {"b": TWO}), Outcome.INCOMPLETE, {"a": ONE}),
+])
+def test_what_comes_of_a_message(message, outcome, entries):
+    topic = holding(2, 3, a=ONE)
+    assert topic.receive(message) is outcome and topic.entries == entries
+    assert topic.version == (message.version if outcome is Outcome.APPLIED else version(2, 3))
+
+
+def test_a_snapshot_broken_off_is_not_joined_with_the_parts_of_another():
+    source = holding(1, 5, **{f"k{n}": ONE for n in range(3 * PART_ENTRIES)})
+    first, second, third = source.snapshot()
+    topic = Topic("t")
+    assert topic.receive(first) is Outcome.INCOMPLETE and not topic.entries
+    topic.drop_partial()
+    assert topic.receive(second) is Outcome.INCOMPLETE and topic.receive(third) is Outcome.INCOMPLETE
+    assert topic.receive(first) is Outcome.APPLIED and topic.entries == source.entries
+
+
+def test_parts_of_an_older_snapshot_do_not_disturb_a_newer_one():
+    old, new = holding(1, 5, **{f"k{n}": ONE for n in range(2 * PART_ENTRIES)}), holding(
+        1, 6, **{f"k{n}": TWO for n in range(2 * PART_ENTRIES)})
+    topic = Topic("t")
+    topic.receive(old.snapshot()[0])
+    topic.receive(new.snapshot()[0])
+    assert topic.receive(old.snapshot()[1]) is Outcome.DUPLICATE
+    assert topic.receive(new.snapshot()[1]) is Outcome.APPLIED and topic.entries == new.entries
+
+
+def test_late_subscribers_get_a_delta_while_the_history_lasts_and_then_a_snapshot():
+    topic = holding(1, 1, **{f"k{n}": ONE for n in range(40)})
+    for sequence in range(2, 60):
+        topic.apply(delta(version(1, sequence - 1), version(1, sequence), k3=Setting(str(sequence))))
+    updates = topic.updates_since(version(1, 50))
+    assert updates == [Delta("t", version(1, 50), version(1, 59), {"k3": Setting("59")})]
+    assert isinstance(topic.updates_since(version(1, 2))[0], Snapshot)
+    assert topic.updates_since(version(1, 59)) == [] == topic.updates_since(version(2, 1))
+
+
+# --- publication ---
+
+def test_three_hundred_changes_in_a_second_leave_as_ten_deltas():
+    publication, flushed = Publication(Topic("t"), 1), 0
+    publication.flush()
+    for n in range(300):
+        now = NOW + n * SECOND // 300
+        if publication.due_at is not None and publication.due_at <= now:
+            flushed += len(publication.flush().changes) > 0
+        publication.put(now, f"k{n % 20}", Setting(str(n)))
+    assert flushed <= SECOND // FLUSH_EVERY and len(publication.topic.entries) == 20
+
+
+def test_a_change_that_is_taken_back_before_the_flush_costs_nothing():
+    publication = Publication(holding(1, 4, a=ONE), 2)
+    publication.put(NOW, "a", TWO)
+    publication.put(NOW, "a", ONE)
+    assert publication.flush() == Delta("t", version(1, 4), version(2, 1), {})
+
+
+def test_an_epoch_that_is_not_later_is_refused():
+    with pytest.raises(ValueError, match="epoch 3 of t is not later than 3"):
+        Publication(holding(3, 1), 3)
+
+
+# --- distributor ---
+
+class Served:
+    def __init__(self, topic: Topic, **limits):
+        self.topic = topic
+        self.distributor = Distributor({"t": topic}, DistributorLimits(**limits))
+
+    def subscribe(self, name: str, held: Version = NEVER) -> None:
+        assert self.distributor.accept(NOW, name)
+        self.distributor.receive(name, Subscribe("t", held))
+
+    def pulled(self, name: str, room: int = 10 ** 6, now: int = NOW) -> list:
+        return [outgoing.message for outgoing in self.distributor.pull(now, name, room)]
+
+    def change(self, **changes) -> list[str]:
+        held = self.topic.version
+        self.topic.apply(delta(held, version(held.epoch, held.sequence + 1), **changes))
+        return list(self.distributor.changed("t"))
+
+
+def test_a_slow_subscriber_gets_one_delta_for_many_and_holds_up_nobody():
+    served = Served(holding(1, 1, **{f"k{n}": ONE for n in range(80)}))
+    for name in ("slow", "fast"):
+        served.subscribe(name, version(1, 1))
+    for n in range(30):
+        assert set(served.change(k1=Setting(str(n)))) == {"slow", "fast"}
+        assert served.pulled("fast") == [delta(version(1, n + 1), version(1, n + 2), k1=Setting(str(n)))]
+    assert served.pulled("slow") == [delta(version(1, 1), version(1, 31), k1=Setting("29"))]
+
+
+def test_snapshots_wait_for_their_budget_while_deltas_go_on():
+    topic = holding(1, 1, **{f"k{n}": Setting("x" * 100) for n in range(100)})
+    size = sum(len(encode(part)) for part in topic.snapshot())
+    served = Served(topic, snapshot_bytes_per_second=size, snapshot_burst_bytes=size)
+    for name in ("first", "second"):
+        served.subscribe(name)
+    served.subscribe("current", version(1, 1))
+    assert len(served.pulled("first")) == 1 and served.pulled("second") == []
+    served.change(k1=ONE)
+    assert len(served.pulled("current")) == 1
+    later = served.distributor.due_at(NOW, "second")
+    assert NOW < later
+    assert served.pulled("second", now=NOW + 2 * SECOND)[1:] == topic.snapshot()     # after a heartbeat
+
+
+def test_a_distributor_never_takes_a_subscriber_back():
+    served = Served(holding(2, 5, a=ONE))
+    served.subscribe("ahead", version(2, 9))
+    served.subscribe("later epoch", version(3, 1))
+    assert served.pulled("ahead") == [] == served.pulled("later epoch")
+
+
+def test_no_more_subscribers_than_the_limit_and_the_same_name_once():
+    distributor = Distributor({}, DistributorLimits(subscribers=2))
+    assert distributor.accept(NOW, "a") and distributor.accept(NOW, "b")
+    assert not distributor.accept(NOW, "c") and distributor.accept(NOW, "a")
+
+
+# --- client ---
+
+class Child:
+    """A client and a distributor that it is connected to, message by message."""
+
+    def __init__(self, topic: Topic, parents=("p0", "p1")):
+        self.served = Served(topic)
+        self.client = SubscriptionClient(parents, {}, random.Random(1), NOW)
+        self.client.want("t")
+        self.now = NOW
+
+    def connect(self) -> None:
+        self.now = max(self.now, self.client.due_at())
+        assert isinstance(self.client.tick(self.now)[-1], Dial)
+        assert self.served.distributor.accept(self.now, "child")
+        self.up(self.client.connected(self.now))
+
+    def up(self, actions) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self.served.distributor.receive("child", action.message)
+
+    def down(self, *lost: int, twice: bool = False, reverse: bool = False) -> None:
+        """All that the parent has to say arrives but for the messages of these numbers."""
+        messages = self.served.pulled("child", now=self.now)
+        messages = [message for number, message in enumerate(messages) if number not in lost]
+        for message in (reversed(messages) if reverse else messages) if not twice else [m for m in messages for _ in (0, 1)]:
+            self.up(self.client.receive(self.now, message))
+
+    @property
+    def entries(self) -> dict:
+        return self.client.topics["t"].entries
+
+
+def test_a_lost_delta_is_noticed_by_the_next_one_and_asked_for_again():
+    child = Child(holding(1, 1, a=ONE, b=ONE))
+    child.connect()
+    child.down()
+    child.served.change(a=TWO)
+    child.down(0)
+    child.served.change(b=TWO)
+    child.down()                # a gap: it subscribes again with what it holds
+    child.down()
+    assert child.entries == {"a": TWO, "b": TWO} and child.client.resyncs == 1
+
+
+def test_a_lost_delta_with_nothing_after_it_is_noticed_by_the_digests():
+    child = Child(holding(1, 1, a=ONE))
+    child.connect()
+    child.down()
+    child.served.change(a=TWO)
+    child.down(0)
+    for _ in range(3):
+        child.now += SECOND
+        child.down()
+    assert child.entries == {"a": TWO} and child.client.resyncs == 1
+
+
+@pytest.mark.parametrize("how", [{"twice": True}, {"reverse": True}])
+def test_repeated_and_reordered_messages_end_in_the_same_state(how):
+    child = Child(holding(1, 1, **{f"k{n}": ONE for n in range(2 * PART_ENTRIES)}))
+    child.connect()
+    child.down(**how)
+    child.served.change(k1=TWO)
+    for _ in range(4):
+        child.now += SECOND
+        child.down(**how)
+    assert child.entries == child.served.topic.entries
+
+
+def test_a_parent_that_dies_within_a_snapshot_is_replaced_and_the_rest_asked_of_another():
+    topic = holding(1, 1, **{f"k{n}": ONE for n in range(3 * PART_ENTRIES)})
+    child = Child(topic)
+    child.connect()
+    for message in child.served.pulled("child", room=1):
+        child.client.receive(child.now, message)
+    assert child.entries == {}
+    child.client.lost(child.now)
+    child.served.distributor.lost("child")
+    assert child.client.parent == "p1"
+    child.connect()
+    child.down()
+    assert child.entries == topic.entries
+
+
+def test_a_silent_parent_is_given_up_and_the_dial_to_the_next_too():
+    client = SubscriptionClient(["p0", "p1"], {}, random.Random(1), NOW)
+    assert client.tick(NOW) == [Dial("p0")]
+    client.connected(NOW)
+    assert client.tick(NOW + 2 * SECOND) == []
+    assert client.tick(NOW + 3 * SECOND)[0] == HangUp()
+    dialled = client.tick(client.due_at())
+    assert dialled == [Dial("p1")] and client.state is State.DIALLING
+    assert client.tick(client.due_at())[0] == HangUp() and client.parent == "p0"
+
+
+def test_dials_after_a_common_loss_are_spread_and_slow_down():
+    clients = [SubscriptionClient(["p"], {}, random.Random(n), NOW) for n in range(2000)]
+    for client in clients:
+        client.tick(NOW)
+        client.connected(NOW)
+        client.lost(NOW)
+    waits = sorted(client.due_at() - NOW for client in clients)
+    assert waits[0] < 5_000 and waits[-1] > 450_000
+    fullest = max(sum(at <= wait < at + 50_000 for wait in waits) for at in range(0, 500_000, 10_000))
+    assert fullest < 0.15 * len(clients)
+    backoff = Backoff(random.Random(1))
+    assert max(backoff.wait() for _ in range(40)) <= 30 * SECOND
+    assert sum(backoff.wait() for _ in range(100)) / 100 > 10 * SECOND
+
+
+def test_the_preferred_parent_is_taken_again_after_a_while():
+    client = SubscriptionClient(["p0", "p1"], {}, random.Random(1), NOW)
+    client.tick(NOW)
+    client.lost(NOW)
+    now = client.due_at()
+    client.tick(now)
+    client.connected(now)
+    for second in count(1):
+        client.receive(now + second * SECOND, Heartbeat(client.held.value))
+        actions = client.tick(now + second * SECOND)
+        if actions:
+            break
+    assert 60 <= second <= 181 and actions == [HangUp(), Dial("p0")]
+
+
+def test_the_bucket_gives_more_than_its_burst_only_when_full_and_pays_it_off():
+    bucket = TokenBucket(100.0, 200.0)
+    assert bucket.take(NOW, 500) and not bucket.take(NOW + 2 * SECOND, 1)
+    assert bucket.ready_at(NOW + 2 * SECOND, 1) > NOW + 2 * SECOND
+    assert bucket.take(NOW + 4 * SECOND, 1)
+
+
+# --- ownership ---
+
+def test_a_claim_of_an_earlier_epoch_changes_nothing():
+    view = OwnershipView()
+    assert view.hear("s", Claim("b", 7))
+    assert not view.hear("s", Claim("a", 6)) and view.claim("s") == Claim("b", 7)
+    assert view.hear("s", Claim("a", 8))
+    key, entry = service_claim("s", 8)
+    assert list(read_claims("a", {key: entry, "junk": ONE})) == [("s", Claim("a", 8))]
+
+
+def test_services_spread_evenly_and_a_lost_owner_moves_only_its_own():
+    weights = dict.fromkeys(range(30), 1.0)
+    owned = [shard_of_service(f"service-{n}", 256) for n in range(1200)]
+    assert max(owned.count(shard) for shard in set(owned)) <= 16
+    ready = replicas(5, 3, weights)
+    assert len(ready) == 2 and 3 not in ready
+    left = {member: weight for member, weight in weights.items() if member != ready[1]}
+    assert replicas(5, 3, left)[0] == ready[0]
+
+
+def test_an_owner_whose_lease_has_lapsed_publishes_nothing():
+    owner = Owner("a", 1, lambda topic: {"c:x": ONE}, [], random.Random(1), NOW)
+    owner.acquire(NOW, "s", Tenure(4, NOW + 2 * SECOND))
+    owner.distributor.accept(NOW, "relay")
+    owner.subscriber_said(NOW, "relay", Subscribe("s@0", NEVER))
+    asleep_until = NOW + 60 * SECOND
+    assert owner.publish(asleep_until)[0] == [claims_topic("a")]
+    assert owner.due_at(asleep_until) is None and owner.topics["s@0"].version == NEVER
+    owner.tenures["s"].renew(asleep_until + SECOND)
+    assert owner.publish(asleep_until)[0] == ["s@0"] and owner.topics["s@0"].version == version(4, 1)
+
+
+def test_a_topic_subscribed_to_before_the_lease_is_granted_is_published_with_it():
+    owner = Owner("a", 1, lambda topic: {"c:x": ONE}, [], random.Random(1), NOW)
+    owner.distributor.accept(NOW, "relay")
+    owner.subscriber_said(NOW, "relay", Subscribe("s@0", version(1, 2)))
+    owner.acquire(NOW, "s", Tenure(2, NOW + SECOND))
+    assert "s@0" in owner.publish(NOW + 100_000)[0] and owner.topics["s@0"].version == version(2, 1)
+
+
+def test_a_service_without_subscribers_is_not_published():
+    asked = []
+    owner = Owner("a", 1, lambda topic: asked.append(topic) or {}, [], random.Random(1), NOW)
+    owner.acquire(NOW, "s", Tenure(1, NOW + 100 * SECOND))
+    for second in range(50):
+        owner.refresh(NOW + second * SECOND, "s@0")
+        owner.publish(NOW + second * SECOND)
+    assert asked == [] and set(owner.topics) == {claims_topic("a")}
+
+
+# --- the tree ---
+
+@pytest.mark.parametrize("pilots, fan_out", [(0, 8), (1, 8), (64, 128), (65, 128), (18_000, 128), (18_000, 8), (3, 2)])
+def test_no_relay_has_more_than_half_of_its_children_by_plan(pilots, fan_out):
+    made = levels(pilots, fan_out)
+    below = pilots
+    for level in reversed(made):
+        parents = parents_of_all(below, level)
+        first = Counter(names[0] for names in parents)
+        assert max(first.values(), default=0) <= max(1, fan_out // 2)
+        assert all(len(set(names)) == len(names) for names in parents)
+        below = len(level.names)
+
+
+@pytest.mark.parametrize("pilots, fan_out", [(-1, 8), (5, 1)])
+def test_a_tree_that_can_not_be_is_refused(pilots, fan_out):
+    with pytest.raises(ValueError, match="expected pilots and a fan-out of two or more"):
+        levels(pilots, fan_out)
+
+
+# --- sums on the way up ---
+
+def report(reporter: str, sequence: int, tries: int = 10, zone: int = 0) -> Report:
+    return Report("s", zone, 100 + sequence, reporter, sequence, {"a": EndpointSums(tries, 1, 9000)}, {0: GroupSums(tries, 2)})
+
+
+def test_reports_add_up_and_are_counted_once():
+    leaf, top = Aggregator("leaf"), Aggregator("top")
+    assert all(leaf.add(report(f"p{n}", 1)) for n in range(64)) and not leaf.add(report("p3", 1))
+    [summed] = leaf.flush(101)
+    assert summed.endpoints == {"a": EndpointSums(640, 64, 64 * 9000)} and summed.groups == {0: GroupSums(640, 128)}
+    assert top.add(summed) and not top.add(summed) and leaf.flush(102) == []
+    assert leaf.add(report("p3", 2)) and top.add(leaf.flush(103)[0])
+    assert top.flush(104)[0].endpoints["a"].tries == 650 and leaf.duplicates == top.duplicates == 1
+
+
+# --- planner, allowance, fallback ---
+
+SETTINGS = provisioning({
+    "azs": ["a", "b"], "balancers": 1, "discovery": "pushed", "weights": "rough", "telemetry": {"columns": []},
+    "classes": [{"name": "read", "importance": 1, "objective-ms": 800, "deadline-ms": 3000, "idempotency": "pure"}],
+    "family-info": {"level-kind": "fraction"}, "rules": {"cold-share": 0.2, "fall-multiple": 3, "warm-after-ms": 16_000}})
+
+
+def planned(seconds: int, demand=(40, 40), failures=(0, 0), changed=None) -> ServicePlanner:
+    """A service of four endpoints in each of two zones, after so many seconds."""
+    planner = ServicePlanner("s", SETTINGS, 1)
+    endpoints = {f"e{n}": EndpointEntry(n // 4, True, 1.0) for n in range(8)}
+    planner.configure(endpoints)
+    for zone in (0, 1):
+        planner.subscribe_zone(zone)
+    for quarter in range(4 * seconds):
+        now = NOW + quarter * SECOND // 4
+        if quarter == 4 * (seconds - 1) and changed:
+            planner.configure(endpoints | {"e0": EndpointEntry(0, True, 1.0, now)})
+        for zone in (0, 1) if quarter % 4 == 0 else ():
+            tries = demand[zone]
+            sums = EndpointSums(tries, failures[zone], (tries - failures[zone]) * 200_000)
+            planner.report(Report("s", zone, quarter, "r", quarter + 1, {f"e{n}": sums for n in range(4 * zone, 4 * zone + 4)},
+                                  {0: GroupSums(4 * tries)}), SECOND)
+        planner.round(now)
+    return planner
+
+
+def test_the_planner_decides_by_kurmacost_and_spills_from_a_failing_zone():
+    calm, failing = planned(20), planned(20, demand=(40, 20), failures=(12, 0))
+    assert set(table_of(calm.entries(0))) == {"e0", "e1", "e2", "e3"}
+    spilled = {name for name in table_of(failing.entries(0)) if name >= "e4"}
+    assert spilled and not {name for name in table_of(failing.entries(1)) if name < "e4"}
+    assert failing.controller.share != solve_spill([1, 1], [1, 1], [None, None], [[1, 1], [1, 1]])
+    assert len(endpoints_of(calm.entries(0))) == 8
+
+
+def test_a_cold_endpoint_has_an_allowance_and_over_18000_pilots_it_holds_whatever_they_have_shut_out():
+    table = table_of(planned(20, changed=True).entries(0))
+    cold = table["e0"]
+    total = sum(line.weight for line in table.values())
+    assert 0 < cold.largest_share < 1 and table["e1"].largest_share == 1.0
+    chance = random.Random(5)
+    for most_out in (2, 3):
+        received = 0.0
+        for _ in range(18_000):     # each pilot has shut out what it likes, by an older list or by failures that it met
+            out = chance.sample(["e1", "e2", "e3"], chance.randint(0, most_out))
+            given = shares(table, out)
+            received += given["e0"]
+            assert sum(given.values()) <= 1 + 1e-9 and (len(out) == 3 or sum(given.values()) == pytest.approx(1))
+        assert received <= 18_000 * cold.largest_share + 1e-6
+    assert cold.largest_share <= 3 / 2 * cold.weight / total + 1e-3
+
+
+@pytest.mark.parametrize("planned_share, ramp, multiple, expected", [
+    (0.1, 1.0, 3, 1.0), (0.1, 0.5, 3, 0.15), (0.1, 0.5, 1.5, 0.1), (0.9, 0.5, 4, 1.0)])
+def test_largest_share(planned_share, ramp, multiple, expected):
+    assert largest_share(planned_share, ramp, multiple) == pytest.approx(expected)
+
+
+def test_without_controllers_pilots_go_on_with_the_last_table_and_then_decide_for_themselves():
+    topic = Topic("s@0")
+    topic.replace(version(1, 1), planned(20).entries(0))
+    service = PilotService(topic, 0, SETTINGS, 1)
+    before = service.table(NOW)
+    service.owner_reachable(NOW, False)
+    assert service.source(NOW + SECOND) is Source.LAST_TABLE and service.table(NOW + SECOND) == before
+    bad = EndpointSums(50, 50)
+    for quarter in range(4 * 40):
+        now = NOW + HOLD_FOR + quarter * SECOND // 4
+        service.round(now)
+        service.report(Report("s", 0, quarter, "me", quarter + 1, {"e0": bad, "e1": EndpointSums(50, 0, 50 * 200_000)},
+                              {0: GroupSums(100)}), SECOND // 4)
+    assert service.source(now) is Source.LOCAL
+    own = service.table(now)
+    assert own["e1"].weight > 10 * own["e0"].weight and set(own) >= {"e1", "e2", "e3"}
+    service.owner_reachable(now, True)
+    assert service.source(now) is Source.OWNER and service.table(now) == before
+
+
+def test_a_change_is_told_to_the_caller():
+    child = Child(holding(1, 1, a=ONE))
+    child.connect()
+    [message] = child.served.pulled("child", now=child.now)
+    assert child.client.receive(child.now, message) == [TopicChanged("t")]
