Scale benchmark: slopes of each role, hollow fleets up to 18,000 pilots, agreement

Need: capacity figures that are a slope times a count, each from a named benchmark (issue on the size that is coming).

--- /dev/null
+++ b/benchmarks/scale/fleet.py
@@ -0,0 +1,267 @@
+"""Hollow fleets on a virtual network: from a change until the last pilot has it, and the worst minutes, by fleet size.
+
+Everything but sockets is the real code: relays, owners, subscribers, their messages and bytes. Delays: 0.3 to 1.5 ms within
+a region, 10 to 120 ms between two, one way; one message in a thousand comes a retransmission (250 ms) late; 100 Mbit/s for
+each connection. Processor time is not played: it is measured by itself and multiplied.
+"""
+import random
+import resource
+import time
+from typing import Callable
+
+import msgspec
+
+from benchmarks.measuring import quantile
+from ravenshelf.distribution.decisions.planner import ENDPOINT, LINE
+from ravenshelf.distribution.messages import NEVER, EndpointEntry, TableLine
+from standins.distribution.world import Size, World
+from standins.fleet.clock import SECOND
+
+PILOTS, SERVICES, ENDPOINTS = 18_000, 1_200, 36_000
+ZONES, REGIONS, CONTROLLERS = 64, 23, 30
+FAN_OUT = 128
+SERVICES_CALLED = 12
+SHARDS = 256
+HOUR_OF_CHANGES = 13_000 // 24
+RESTARTS_A_MINUTE = 2_800 / 60
+LINES_REWRITTEN = 10
+
+
+class Fleet(msgspec.Struct):
+    """What one fleet of a size showed. Latencies in seconds, bytes a second for one pilot unless said otherwise."""
+    pilots: int
+    relays: int
+    seed: int
+    calm_bytes: float = 0.0
+    change_p50: float = 0.0
+    change_p99: float = 0.0
+    change_last: float = 0.0
+    owner_messages_a_change: float = 0.0
+    all_p99: float = 0.0
+    all_last: float = 0.0
+    all_bytes: float = 0.0
+    zone_p99: float = 0.0
+    zone_bytes: float = 0.0
+    killed_p50: float = 0.0
+    killed_p99: float = 0.0
+    killed_last: float = 0.0
+    killed_dials: int = 0
+    killed_snapshot_bytes: float = 0.0
+    restart_last: float = 0.0
+    restart_bytes: float = 0.0
+    parted_last: float = 0.0
+    parted_bytes: float = 0.0
+    behind: int = 0             # pilots that lacked something at the end of a part
+    relay_bytes_out: float = 0.0    # of the busiest relay in the worst part
+    owner_bytes_out: float = 0.0    # of the busiest controller in the worst part
+    wall_seconds: float = 0.0
+    resident_mb: float = 0.0
+
+
+def size(pilots: int) -> Size:
+    """A fleet of so many pilots, with the plan's share of services, each of 30 endpoints."""
+    return Size(controllers=CONTROLLERS, pilots=pilots, services=max(24, SERVICES * pilots // PILOTS),
+                endpoints=ENDPOINTS // SERVICES, services_called=SERVICES_CALLED, regions=REGIONS, zones=ZONES,
+                fan_out=FAN_OUT, shards=SHARDS, start_spread=20 * SECOND)
+
+
+class Player:
+    """Plays the parts of a day on one world, and keeps what each showed."""
+
+    def __init__(self, pilots: int, seed: int):
+        self.world = World(size(pilots), seed, checked=False)
+        self.chance = random.Random(f"{seed}/player")
+        self.fleet = Fleet(pilots, sum(len(level) for level in self.world.levels), seed)
+
+    def play(self) -> Fleet:
+        began = time.perf_counter()
+        self.start()
+        self.calm()
+        self.changes()
+        self.change_for_all()
+        self.zone_returns()
+        self.level_killed()
+        self.mass_restart()
+        self.region_parted()
+        self.fleet.wall_seconds = round(time.perf_counter() - began, 1)
+        self.fleet.resident_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+        return self.fleet
+
+    # --- helpers ---
+
+    def pilot_bytes(self) -> int:
+        return sum(pilot.bytes_in for pilot in self.world.pilots)
+
+    def a_second(self, seconds: float, play: Callable[[], None]) -> float:
+        """Bytes a second and pilot while `play` runs for so many seconds; the busiest relay and controller are noted."""
+        relays = [relay for level in self.world.levels for relay in level]
+        before = self.pilot_bytes()
+        out = [node.bytes_out for node in relays], [node.bytes_out for node in self.world.owners]
+        play()
+        busiest = [max(node.bytes_out - had for node, had in zip(nodes, known)) / seconds
+                   for nodes, known in zip((relays, self.world.owners), out)]
+        self.fleet.relay_bytes_out = max(self.fleet.relay_bytes_out, busiest[0])
+        self.fleet.owner_bytes_out = max(self.fleet.owner_bytes_out, busiest[1])
+        return (self.pilot_bytes() - before) / seconds / self.fleet.pilots
+
+    def latencies(self, services: list[str], marked_at: dict[str, int]) -> list[float]:
+        """Seconds from each service's change until each of its pilots had it; those that lack it are counted."""
+        found: list[float] = []
+        for service in services:
+            had = self.world.watched[service]
+            self.fleet.behind += len(self.world.subscribers(service)) - len(had)
+            found += [(at - marked_at[service]) / SECOND for at in had.values()]
+        return found
+
+    def mark(self, services: list[str]) -> dict[str, int]:
+        for service in services:
+            self.world.mark(service)
+        return dict.fromkeys(services, self.world.events.now)
+
+    def unstarted(self) -> int:
+        return sum(version == NEVER for pilot in self.world.pilots for version in pilot.client.held.versions().values())
+
+    # --- parts ---
+
+    def start(self) -> None:
+        """All pilots start within 20 s."""
+        for _ in range(12):
+            self.world.run(5)
+            if self.world.events.now > 1025 * SECOND and not self.unstarted():
+                break
+        self.fleet.behind += self.unstarted()
+
+    def calm(self) -> None:
+        self.fleet.calm_bytes = self.a_second(5, lambda: self.world.run(5))
+
+    def changes(self) -> None:
+        """Ten changes of single services, one each half second."""
+        services = self.chance.sample(self.world.services, 10)
+        marked: dict[str, int] = {}
+        before = sum(owner.messages_out for owner in self.world.owners)
+        for service in services:
+            marked |= self.mark([service])
+            self.world.run(0.5)
+        self.world.run(4)
+        heartbeats = sum(len(owner.served) for owner in self.world.owners) * 9
+        sent = sum(owner.messages_out for owner in self.world.owners) - before
+        found = self.latencies(services, marked)
+        self.fleet.owner_messages_a_change = max(0.0, (sent - heartbeats) / len(services))
+        self.fleet.change_p50, self.fleet.change_p99 = quantile(found, 0.5), quantile(found, 0.99)
+        self.fleet.change_last = max(found)
+
+    def change_for_all(self) -> None:
+        """Every service's configuration changes at once."""
+        marked: dict[str, int] = {}
+
+        def change() -> None:
+            marked.update(self.mark(self.world.services))
+            self.world.run(10)
+
+        self.fleet.all_bytes = self.a_second(10, change)
+        found = self.latencies(self.world.services, marked)
+        self.fleet.all_p99, self.fleet.all_last = quantile(found, 0.99), max(found)
+
+    def zone_returns(self) -> None:
+        """A zone's endpoints start again, and each service's tables are written anew in three beats."""
+        marked: dict[str, int] = {}
+
+        def back() -> None:
+            for beat in range(3):
+                for service in self.world.services:
+                    self._rewrite(service, beat)
+                marked.update(self.mark(self.world.services))
+                self.world.run(2.5)
+            self.world.run(2.5)
+
+        self.fleet.zone_bytes = self.a_second(10, back)
+        self.fleet.zone_p99 = quantile(self.latencies(self.world.services, marked), 0.99)
+
+    def _rewrite(self, service: str, beat: int) -> None:
+        names = [f"{service}-{n}" for n in range(self.world.size.endpoints)]
+        back = EndpointEntry(0, True, 1.0, self.world.events.now)
+        self.world.configuration[service] = {**self.world.configuration[service], ENDPOINT + names[beat]: back}
+        self.world.write_table(service, {LINE + name: TableLine(round(self.chance.uniform(10, 100), 2))
+                                         for name in names[:LINES_REWRITTEN]})
+
+    def level_killed(self) -> None:
+        """All relays next to the owners die and come back after 5 s; services change in the middle of it."""
+        services = self.chance.sample(self.world.services, 5)
+        snapshots = self.world.snapshot_bytes()
+        dials = len(self.world.network.dials)
+        for relay in self.world.levels[0]:
+            relay.away(5)
+        self.world.run(0.2)
+        marked = self.mark(services)
+        self.world.run(45)
+        found = self.latencies(services, marked)
+        self.fleet.killed_p50, self.fleet.killed_p99 = quantile(found, 0.5), quantile(found, 0.99)
+        self.fleet.killed_last = max(found)
+        self.fleet.killed_dials = len(self.world.network.dials) - dials
+        self.fleet.killed_snapshot_bytes = float(self.world.snapshot_bytes() - snapshots)
+
+    def mass_restart(self) -> None:
+        """Pilots are replaced as in the hour of 2,800 restarts: each comes back with nothing after 2 s."""
+        count = max(1, round(RESTARTS_A_MINUTE / 3 * self.fleet.pilots / PILOTS))
+
+        def restart() -> None:
+            for pilot in self.chance.sample(self.world.pilots, count):
+                pilot.away(2, forget=True)
+                self.world.run(20 / count)
+            self.world.run(10)
+
+        self.fleet.restart_bytes = self.a_second(30, restart)
+        self.fleet.behind += self.unstarted()
+
+    def region_parted(self) -> None:
+        """A region is cut off while an hour's changes pile up, then the cut heals."""
+        region = REGIONS // 2
+        self.world.network.cut_off(region)
+        self.world.run(20)
+        services = [self.chance.choice(self.world.services) for _ in range(max(5, HOUR_OF_CHANGES * self.fleet.pilots // PILOTS))]
+        for service in services:
+            self.world.change(service, "hourly", str(self.chance.random()))
+        marked = self.mark(sorted(set(services)))
+        self.world.run(10)
+        healed = self.world.events.now
+
+        def heal() -> None:
+            self.world.network.heal(region)
+            self.world.run(60)
+
+        self.fleet.parted_bytes = self.a_second(60, heal) * self.fleet.pilots * 60
+        found = self.latencies(list(marked), marked)
+        self.fleet.parted_last = max(0.0, max(found) - (healed - next(iter(marked.values()))) / SECOND)
+
+
+def play(pilots: int, seed: int) -> Fleet:
+    """Plays the whole day on a fleet of so many pilots."""
+    return Player(pilots, seed).play()
+
+
+class Baseline(msgspec.Struct):
+    """Bytes a second for one pilot, and of the source, where every pilot watches all services; and the same changes with
+    subscriptions."""
+    pilots: int
+    seed: int
+    watched_bytes: float
+    watched_source_bytes: float
+    subscribed_bytes: float
+    subscribed_source_bytes: float
+
+
+def baseline(pilots: int, seed: int, services: int) -> Baseline:
+    """Everybody watching all against subscriptions, under the same changes: all services once in ten seconds."""
+    found = []
+    for called, fan_out in ((services, 4 * pilots), (min(SERVICES_CALLED, services), FAN_OUT)):
+        world = World(Size(controllers=3, pilots=pilots, services=services, endpoints=30, services_called=called, regions=3,
+                           zones=3, fan_out=fan_out, shards=16, start_spread=5 * SECOND), seed, checked=False)
+        world.run(20)
+        before = sum(pilot.bytes_in for pilot in world.pilots), sum(relay.bytes_out for relay in world.levels[-1])
+        for service in world.services:
+            world.change(service)
+            world.run(10 / services)
+        world.run(2)
+        found += [(sum(pilot.bytes_in for pilot in world.pilots) - before[0]) / pilots / 12,
+                  (sum(relay.bytes_out for relay in world.levels[-1]) - before[1]) / 12]
+    return Baseline(pilots, seed, *found)
--- a/ravenshelf/distribution/decisions/backoff.py
+++ b/ravenshelf/distribution/decisions/backoff.py
@@ -3,7 +3,7 @@
 
 SECOND = 1_000_000
 FIRST_CEILING = SECOND // 2     # of the first wait; it doubles with each failure
-LAST_CEILING = 30 * SECOND
+LAST_CEILING = 2 * SECOND       # a relay has a bounded number of children, so it bears one dial a second from each
 
 
 class Backoff:
--- a/ravenshelf/distribution/decisions/claims.py
+++ b/ravenshelf/distribution/decisions/claims.py
@@ -1,16 +1,21 @@
-"""What a controller tells of itself, as a topic of its own: the services it owns and the topics it publishes."""
+"""What a controller tells of itself: the services it owns, as one topic, and for each shard the topics it publishes."""
 from typing import Iterator, Mapping
 
 from ravenshelf.distribution.decisions.ownership import Claim
 from ravenshelf.distribution.messages import Entry, Setting
 
-_PREFIX = "claims/"
+_CLAIMS, _PUBLISHED = "claims/", "published/"
 _SERVICE, _TOPIC = "s:", "p:"
 
 
 def claims_topic(controller: str) -> str:
     """The topic in which a controller says what it owns."""
-    return _PREFIX + controller
+    return _CLAIMS + controller
+
+
+def published_topics(shard: int) -> str:
+    """The topic in which a shard's owner names the topics that it publishes, for its replicas."""
+    return f"{_PUBLISHED}{shard}"
 
 
 def service_of(topic: str) -> str:
--- a/ravenshelf/distribution/decisions/fallback.py
+++ b/ravenshelf/distribution/decisions/fallback.py
@@ -20,8 +20,9 @@
     """One service at one pilot. Without an owner the last table holds; after a while the pilot's own proxies' sums decide
     the spill anew, over the endpoints last listed. An owner's table that comes later takes over at once."""
 
-    def __init__(self, topic: Topic, zone: int, provisioning: dict, seed: int):
-        self.topic, self.zone, self.seed = topic, zone, seed
+    def __init__(self, service: str, listed: Topic, table: Topic, zone: int, provisioning: dict, seed: int):
+        """`listed` and `table` are the topics of the service and of its zone, as the subscription keeps them."""
+        self.service, self.listed, self.owners_table, self.zone, self.seed = service, listed, table, zone, seed
         self.provisioning = provisioning
         self.owner_lost_at: int | None = None
         self.local: ServicePlanner | None = None
@@ -37,7 +38,7 @@
         """Whose table is in use now."""
         if self.owner_lost_at is None:
             return Source.OWNER
-        if now - self.owner_lost_at < HOLD_FOR or not endpoints_of(self.topic.entries):
+        if now - self.owner_lost_at < HOLD_FOR or not endpoints_of(self.listed.entries):
             return Source.LAST_TABLE
         return Source.LOCAL
 
@@ -51,15 +52,15 @@
         if self.source(now) is not Source.LOCAL:
             return
         if self.local is None:
-            self.local = ServicePlanner(self.topic.name, self.provisioning, self.seed)
-            self.local.configure(endpoints_of(self.topic.entries))
+            self.local = ServicePlanner(self.service, self.provisioning, self.seed)
+            self.local.configure(endpoints_of(self.listed.entries))
             self.local.subscribe_zone(self.zone)
         self.local.round(now)
 
     def table(self, now: int) -> dict[str, TableLine]:
         """The lines in use; the last table of the owner until the own decisions have one."""
         if self.source(now) is Source.LOCAL and self.local is not None:
-            own = table_of(self.local.entries(self.zone))
+            own = table_of(self.local.zone_entries(self.zone))
             if own:
                 return own
-        return table_of(self.topic.entries)
+        return table_of(self.owners_table.entries)
--- a/ravenshelf/distribution/decisions/owner.py
+++ b/ravenshelf/distribution/decisions/owner.py
@@ -1,12 +1,12 @@
 """A controller: publishes the topics of the services that it owns, and holds those that it may have to take over."""
 import random
-from typing import Callable, Iterable, Mapping, Sequence
+from typing import Callable, Mapping, Sequence
 
 from ravenshelf.distribution.decisions.claims import (
-    claims_topic, published_topic, read_published, service_claim, service_of)
+    claims_topic, published_topic, published_topics, read_published, service_claim, service_of)
 from ravenshelf.distribution.decisions.client import Action, SubscriptionClient, TopicChanged
 from ravenshelf.distribution.decisions.distributor import Distributor, DistributorLimits
-from ravenshelf.distribution.decisions.ownership import Tenure
+from ravenshelf.distribution.decisions.ownership import Tenure, shard_of_service
 from ravenshelf.distribution.decisions.publication import Publication
 from ravenshelf.distribution.decisions.relay import Effects
 from ravenshelf.distribution.decisions.topics import Topic
@@ -18,61 +18,75 @@
 class Owner:
     """One of the controllers. `content` gives the state of a topic, from the service's planner or configuration."""
 
-    def __init__(self, name: str, incarnation: int, content: Content, others: Sequence[str], chance: random.Random,
-                 now: int, limits: DistributorLimits = DistributorLimits()):
+    def __init__(self, name: str, incarnation: int, shards: int, content: Content, others: Sequence[str],
+                 chance: random.Random, now: int, limits: DistributorLimits = DistributorLimits()):
         """`incarnation` rises with each start of this controller: it is the epoch of its claims. `others` are the other
-        controllers, which it follows as a replica."""
-        self.name, self.content = name, content
+        controllers, of which it follows shards as a replica."""
+        self.name, self.shards, self.content = name, shards, content
         self.topics: dict[str, Topic] = {}
         self.distributor = Distributor(self.topics, limits)
         self.publications: dict[str, Publication] = {}
         self.tenures: dict[str, Tenure] = {}            # by service
-        self.standby: set[str] = set()                  # services that it may have to take over
+        self.followed: dict[int, str] = {}              # shards it is a replica of, and the owner that it follows
         self.clients = {other: SubscriptionClient([other], self.topics, chance, now) for other in others}
-        for other, client in self.clients.items():
-            client.want(claims_topic(other))
         self._due: dict[str, int] = {}                  # topics with something pending, and since when it may leave
-        self._own_claims = claims_topic(name)
-        self.topics[self._own_claims] = Topic(self._own_claims)
-        self.publications[self._own_claims] = Publication(self.topics[self._own_claims], incarnation)
-        self._put_claim(now, "", None)
+        self._epochs: dict[int, int] = {}               # of the shards that are owned
+        self._publish_as(now, claims_topic(name), incarnation)
 
     # --- services come and go ---
 
     def acquire(self, now: int, service: str, tenure: Tenure) -> None:
         """The lease of the service's shard was granted: its topics go on from what this controller held as a replica."""
+        shard = shard_of_service(service, self.shards)
         self.tenures[service] = tenure
-        self._put_claim(now, *service_claim(service, tenure.epoch))
+        if self._epochs.get(shard) != tenure.epoch:
+            self._epochs[shard] = tenure.epoch
+            self.unfollow(shard)
+            self._publish_as(now, published_topics(shard), tenure.epoch)
+        self._put(now, claims_topic(self.name), *service_claim(service, tenure.epoch))
         known = {**self.topics, **self.distributor.interested}      # some subscribe before the lease is granted
         for topic in [topic for topic in known if service_of(topic) == service]:
             self._publish(now, topic, tenure)
 
-    def _put_claim(self, now: int, key: str, entry: Entry | None) -> None:
-        self.publications[self._own_claims].put(now, key, entry)
-        self._note_due(self._own_claims)
+    def _publish(self, now: int, topic: str, tenure: Tenure) -> None:
+        if self._publish_as(now, topic, tenure.epoch):
+            self.refresh(now, topic)
+            shard = shard_of_service(service_of(topic), self.shards)
+            self._put(now, published_topics(shard), *published_topic(topic))
+
+    def _publish_as(self, now: int, topic: str, epoch: int) -> bool:
+        """Begins to publish a topic; False where a later epoch has been seen already."""
+        state = self.topics.setdefault(topic, Topic(topic))
+        if state.version.epoch >= epoch:
+            return False
+        self.publications[topic] = Publication(state, epoch)
+        self._due[topic] = now
+        return True
+
+    def _put(self, now: int, topic: str, key: str, entry: Entry | None) -> None:
+        publication = self.publications.get(topic)
+        if publication is not None:
+            publication.put(now, key, entry)
+            self._note_due(topic)
 
     def _note_due(self, topic: str) -> None:
         due_at = self.publications[topic].due_at
         if due_at is not None:
             self._due[topic] = due_at
 
-    def _publish(self, now: int, topic: str, tenure: Tenure) -> None:
-        for client in self.clients.values():        # it is the source now, not a replica
-            client.unwant(topic)
-        state = self.topics.setdefault(topic, Topic(topic))
-        if state.version.epoch < tenure.epoch:
-            self.publications[topic] = Publication(state, tenure.epoch)
-            self.refresh(now, topic)
-            self._put_claim(now, *published_topic(topic))
-
     def release(self, now: int, service: str) -> None:
         """The lease has ended or was given up."""
         self.tenures.pop(service, None)
-        self._put_claim(now, service_claim(service, 0)[0], None)
+        self._put(now, claims_topic(self.name), service_claim(service, 0)[0], None)
+        shard = shard_of_service(service, self.shards)
+        if self._epochs.pop(shard, None) is not None:
+            self._withdraw(published_topics(shard))
         for topic in [topic for topic in self.publications if service_of(topic) == service]:
-            del self.publications[topic]
-            self._due.pop(topic, None)
-            self._put_claim(now, published_topic(topic)[0], None)
+            self._withdraw(topic)
+
+    def _withdraw(self, topic: str) -> None:
+        self.publications.pop(topic, None)
+        self._due.pop(topic, None)
 
     # --- what is published ---
 
@@ -98,9 +112,10 @@
         return topics, to_pull
 
     def _may_publish(self, now: int, topic: str) -> bool:
-        if topic == self._own_claims:
+        service = service_of(topic)
+        if not service:         # what it says of itself: read by epochs, so that an older one does no harm
             return True
-        tenure = self.tenures.get(service_of(topic))
+        tenure = self.tenures.get(service)
         return tenure is not None and tenure.may_publish(now)
 
     # --- subscribers ---
@@ -124,26 +139,31 @@
         for action in self.clients[other].receive(now, message):
             if isinstance(action, TopicChanged):
                 effects.to_pull += self.distributor.changed(action.topic)
-                if action.topic == claims_topic(other):
-                    effects.actions += self._follow(other)
+                effects.actions += self._replicate(other, action.topic)
             else:
                 effects.actions.append((other, action))
         return effects
 
-    def stand_by(self, services: Iterable[str]) -> Effects:
-        """The services for which this controller is a replica now."""
-        self.standby = set(services)
-        return Effects([follow for other in self.clients for follow in self._follow(other)])
-
-    def _follow(self, other: str) -> list[tuple[str, Action]]:
-        """Subscribes to the topics of the other's that this controller may have to take over."""
-        published = self.topics[claims_topic(other)].entries
-        wanted = dict.fromkeys(topic for topic in read_published(published)
-                               if service_of(topic) in self.standby and topic not in self.publications)
-        client, actions = self.clients[other], []
-        for topic in [topic for topic in client.held.versions() if topic != claims_topic(other)]:
-            if topic not in wanted:
-                actions += client.unwant(topic)
-        for topic in wanted:
-            actions += client.want(topic)
-        return [(other, action) for action in actions]
+    def follow(self, shard: int, other: str) -> list[tuple[str, Action]]:
+        """This controller is a replica of a shard that another owns."""
+        if self.followed.get(shard) == other or shard in self._epochs:
+            return []
+        actions = self.unfollow(shard)
+        self.followed[shard] = other
+        actions += [(other, action) for action in self.clients[other].want(published_topics(shard))]
+        return actions + self._replicate(other, published_topics(shard))
+
+    def unfollow(self, shard: int) -> list[tuple[str, Action]]:
+        """It is no replica of the shard any more, or of another owner's."""
+        other = self.followed.pop(shard, None)
+        if other is None:
+            return []
+        client = self.clients[other]
+        topics = [published_topics(shard), *read_published(self.topics[published_topics(shard)].entries)]
+        return [(other, action) for topic in topics for action in client.unwant(topic)]
+
+    def _replicate(self, other: str, topic: str) -> list[tuple[str, Action]]:
+        """Subscribes to what the owner of a followed shard has begun to publish."""
+        client = self.clients[other]
+        return [(other, action) for published in read_published(self.topics[topic].entries)
+                if published not in self.publications for action in client.want(published)]
--- a/ravenshelf/distribution/decisions/planner.py
+++ b/ravenshelf/distribution/decisions/planner.py
@@ -15,8 +15,13 @@
 USUAL_UNKNOWN = 1.0     # requests a second of a zone of which nothing was heard yet
 
 
-def topic_name(service: str, zone: int) -> str:
-    """The topic of a service for the proxies of a zone."""
+def service_topic(service: str) -> str:
+    """The topic of a service's list and settings, the same for all zones."""
+    return f"{service}@"
+
+
+def zone_topic(service: str, zone: int) -> str:
+    """The topic of a service's table and levels for the proxies of a zone."""
     return f"{service}@{zone}"
 
 
@@ -159,10 +164,15 @@
                 self.controller.channel.applied(zone, number, 0)
         self.orders.marks.clear()
 
-    def entries(self, zone: int) -> dict[str, Entry]:
-        """All that the topic of a proxy zone says now."""
+    def service_entries(self) -> dict[str, Entry]:
+        """All that the service's topic says now."""
         entries: dict[str, Entry] = {SETTING + name: Setting(value) for name, value in self.settings.items()}
         entries.update((ENDPOINT + name, entry) for name, entry in self.endpoints.items())
+        return entries
+
+    def zone_entries(self, zone: int) -> dict[str, Entry]:
+        """All that the topic of a proxy zone says now."""
+        entries: dict[str, Entry] = {}
         lines = self.orders.lines_of(zone)
         total = sum(lines.values()) or 1.0
         for index, weight in lines.items():
