Relays, owners and subscribers on sockets; services decided from sums that come up the tree

Need: the distribution was decision modules on a virtual network alone; sums went nowhere, so nothing was decided once.

Length-prefixed frames move to net/frames.py for both users; admin sockets share one server. A pilot's serve does not use any of it.

Found on the way: a reporter's sequence begins anew with its process, so its name carries a number of the start; an owner that knows no table yet published an empty one under its epoch, and now publishes nothing.

--- a/ravenshelf/commands.py
+++ b/ravenshelf/commands.py
@@ -93,7 +93,7 @@
 
 controllers = typer.Typer(help="Controllers that share a fleet: what one of them says and does.", no_args_is_help=True)
 app.add_typer(controllers, name="controllers")
-Admin = Annotated[Path, typer.Option("--admin", "-a", help="The controller's Unix socket: admin in [leadership].")]
+Admin = Annotated[Path, typer.Option("--admin", "-a", help="The Unix socket: admin in [leadership] or [distribution].")]
 AsJson = Annotated[bool, typer.Option("--json", help="One JSON object instead of a table.")]
 
 
@@ -102,7 +102,7 @@
     try:
         told = ask(str(admin), question)
     except (OSError, ValueError) as why:
-        raise refuse(f"{admin}: expected a running controller, {why}") from None
+        raise refuse(f"{admin}: expected a running process, {why}") from None
     if "error" in told:
         raise refuse(told["error"])
     return told
@@ -141,6 +141,44 @@
     print(f"gave up {len(given)} shards{f': {given}' if given else ''}")
 
 
+distribution = typer.Typer(help="Relays that carry tables to pilots.", no_args_is_help=True)
+app.add_typer(distribution, name="distribution")
+
+
+@distribution.command("relay")
+def run_relay(operator: OperatorFile = None, level: Annotated[str, typer.Option("--log-level")] = "INFO"):
+    """Run one relay, as [distribution] of the operator file says, until SIGTERM."""
+    tables = read_operator(operator)
+    if tables is None or not tables.distribution.name:
+        raise refuse(f"{operator or '--operator'}: [distribution] name: found nothing, expected this relay's name")
+    from ravenshelf.process import relay
+    raise typer.Exit(relay.run(tables, level.upper()))
+
+
+@distribution.command("status")
+def distribution_status(admin: Admin, as_json: AsJson = False):
+    """Topics, subscribers and upstreams of a running relay."""
+    from ravenshelf import printing
+    said = asked(admin, {"ask": "status"})["status"]
+    if as_json:
+        print(json.dumps(said, indent=1))
+        return
+    print(f"{said['name']} of {said['cluster']}: {said['topics']} topics, {said['wanted']} wanted, {said['subscribers']} of "
+          f"{said['subscribers_most']} subscribers, {said['refused']} refused, {said['snapshot_bytes']} octets of snapshots")
+    printing.show(("upstream", "state", "parent", "topics", "gaps"), [tuple(one.values()) for one in said["upstreams"]],
+                  title="Upstreams")
+
+
+@distribution.command("watch")
+def watch_topics(parent: Annotated[str, typer.Argument(help="host:port of a relay.")],
+                 topic: Annotated[list[str], typer.Argument(help="Topics: SERVICE@ or SERVICE@ZONE.")],
+                 cluster: Annotated[str, typer.Option(help="As in [distribution].")] = "",
+                 count: Annotated[int, typer.Option(help="End after so many versions; 0: never.")] = 0):
+    """Subscribe to topics as a pilot does, and print each new version as a line of JSON."""
+    from ravenshelf.process import relay
+    raise typer.Exit(relay.watch(parent, cluster, topic, count))
+
+
 store = typer.Typer(help="State on disk, of a pilot that does not run.", no_args_is_help=True)
 app.add_typer(store, name="store")
 Folder = Annotated[Path, typer.Argument(help="The folder that holds segments.")]
--- /dev/null
+++ b/ravenshelf/distribution/connection.py
@@ -0,0 +1,79 @@
+"""One connection between a subscriber and its parent: frames of messages."""
+from typing import Callable, Protocol
+
+from ravenshelf.distribution.messages import Message, MessageError, decode, encode
+from ravenshelf.memory.buffers import Buffers
+from ravenshelf.net.ends import End
+from ravenshelf.net.frames import Frames, pack
+from ravenshelf.net.reading import Reading
+
+ROOM = 65_536           # bytes that wait unsent before no more is pulled for a subscriber
+
+
+class Side(Protocol):
+    """Who holds the connection."""
+
+    def opened(self, connection: "MessageConnection") -> None: ...
+    def said(self, connection: "MessageConnection", message: Message) -> None: ...
+    def over(self, connection: "MessageConnection") -> None: ...
+    def drained(self, connection: "MessageConnection") -> None: ...
+
+
+class MessageConnection(Reading):
+    """Tells its side of each message, and when it has room again."""
+
+    def __init__(self, buffers: Buffers, side: Side, name: str = ""):
+        """`name`: of the parent that was dialled, or of the subscriber once it has said so."""
+        super().__init__(buffers)
+        self.side, self.name = side, name
+        self.frames = Frames()
+        self.paused = False
+        self.bytes_in = self.bytes_out = self.messages_in = self.messages_out = 0
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+        if self.end is not None:
+            transport.abort()
+            return
+        transport.set_write_buffer_limits(high=ROOM)
+        self.side.opened(self)
+
+    def pause_writing(self) -> None:
+        self.paused = True
+
+    def resume_writing(self) -> None:
+        self.paused = False
+        if self.end is None:
+            self.side.drained(self)
+
+    def received(self, data: bytes) -> None:
+        try:
+            messages = [decode(body) for body in self._counted(self.frames.feed(data))]
+        except (ValueError, MessageError):
+            self.close(End.UNREADABLE)
+            return
+        for message in messages:
+            if self.end is None:
+                self.side.said(self, message)
+
+    def _counted(self, bodies: list[bytes]) -> list[bytes]:
+        self.messages_in += len(bodies)
+        self.bytes_in += sum(map(len, bodies))
+        return bodies
+
+    def send(self, message: Message) -> None:
+        """Encodes and writes a message."""
+        self.write(encode(message))
+
+    def write(self, payload: bytes) -> None:
+        """Writes the bytes of a message."""
+        if self.end is None and self.transport is not None:
+            self.messages_out += 1
+            self.bytes_out += len(payload)
+            self.transport.write(pack(payload))
+
+    def ended(self) -> None:
+        self.side.over(self)
+
+
+ConnectionMaker = Callable[[], MessageConnection]
--- a/ravenshelf/distribution/decisions/aggregation.py
+++ b/ravenshelf/distribution/decisions/aggregation.py
@@ -1,9 +1,10 @@
 """Sums on the way up: the reports of many pilots become one report a service, zone and window.
 
-Each hop counts a report once: it is known by its reporter and sequence number. What comes after its window was passed on
+Each hop counts a report once: it is known by its reporter, a name for each start of a process, and sequence number. What comes after its window was passed on
 goes with the next one, so a late report is counted late, never twice and never lost while its sender lives.
 """
 from dataclasses import dataclass, field
+from typing import Callable
 
 from ravenshelf.distribution.messages import EndpointSums, GroupSums, Report
 
@@ -61,14 +62,15 @@
             pending.groups[group] = asked if before is None else add_group(before, asked)
         return True
 
-    def flush(self, window: int) -> list[Report]:
-        """What came in, as this hop's own reports; called at the end of each window."""
+    def flush(self, window: int, may_send: Callable[[str], bool] = lambda service: True) -> list[Report]:
+        """What came in, as this hop's own reports; called at the end of each window. Sums of services that `may_send`
+        denies, for their owner is out of reach, stay and are added to."""
         reports = []
-        for (service, zone), pending in self._pending.items():
+        for service, zone in [key for key in self._pending if may_send(key[0])]:
+            pending = self._pending.pop((service, zone))
             self._sequence += 1
             reports.append(Report(service, zone, pending.window, self.name, self._sequence, pending.endpoints,
                                   pending.groups))
-        self._pending.clear()
         self._forget(window)
         return reports
 
--- a/ravenshelf/distribution/decisions/owner.py
+++ b/ravenshelf/distribution/decisions/owner.py
@@ -12,7 +12,7 @@
 from ravenshelf.distribution.decisions.topics import Topic
 from ravenshelf.distribution.messages import Entry, Message, Resync, Subscribe, Unsubscribe
 
-Content = Callable[[str], Mapping[str, Entry]]      # what a topic of an owned service says now
+Content = Callable[[str], Mapping[str, Entry] | None]   # what a topic of an owned service says; None: not known yet
 
 
 class Owner:
@@ -31,7 +31,8 @@
         self.clients = {other: SubscriptionClient([other], self.topics, chance, now) for other in others}
         self._due: dict[str, int] = {}                  # topics with something pending, and since when it may leave
         self._epochs: dict[int, int] = {}               # of the shards that are owned
-        self._publish_as(now, claims_topic(name), incarnation)
+        self._publish_as(claims_topic(name), incarnation)
+        self._note_due(claims_topic(name))
 
     # --- services come and go ---
 
@@ -42,25 +43,25 @@
         if self._epochs.get(shard) != tenure.epoch:
             self._epochs[shard] = tenure.epoch
             self.unfollow(shard)
-            self._publish_as(now, published_topics(shard), tenure.epoch)
+            if self._publish_as(published_topics(shard), tenure.epoch):
+                self._note_due(published_topics(shard))
         self._put(now, claims_topic(self.name), *service_claim(service, tenure.epoch))
         known = {**self.topics, **self.distributor.interested}      # some subscribe before the lease is granted
         for topic in [topic for topic in known if service_of(topic) == service]:
             self._publish(now, topic, tenure)
 
     def _publish(self, now: int, topic: str, tenure: Tenure) -> None:
-        if self._publish_as(now, topic, tenure.epoch):
+        if self._publish_as(topic, tenure.epoch):
             self.refresh(now, topic)
             shard = shard_of_service(service_of(topic), self.shards)
             self._put(now, published_topics(shard), *published_topic(topic))
 
-    def _publish_as(self, now: int, topic: str, epoch: int) -> bool:
+    def _publish_as(self, topic: str, epoch: int) -> bool:
         """Begins to publish a topic; False where a later epoch has been seen already."""
         state = self.topics.setdefault(topic, Topic(topic))
         if state.version.epoch >= epoch:
             return False
         self.publications[topic] = Publication(state, epoch)
-        self._due[topic] = now
         return True
 
     def _put(self, now: int, topic: str, key: str, entry: Entry | None) -> None:
@@ -91,10 +92,12 @@
     # --- what is published ---
 
     def refresh(self, now: int, topic: str) -> None:
-        """The topic's content may have changed."""
+        """The topic's content may have changed. Nothing is published before there is any: subscribers keep what they had
+        of the owner before."""
         publication = self.publications.get(topic)
-        if publication is not None:
-            publication.put_all(now, self.content(topic))
+        content = self.content(topic) if publication is not None else None
+        if content is not None:
+            publication.put_all(now, content)
             self._note_due(topic)
 
     def due_at(self, now: int) -> int | None:
--- a/ravenshelf/distribution/decisions/planner.py
+++ b/ravenshelf/distribution/decisions/planner.py
@@ -181,6 +181,11 @@
             entries[f"{LEVEL}{group}"] = AdmissionLevel(level, retry_mode)
         return entries
 
+    def is_warm(self, name: str) -> bool:
+        """Whether a listed endpoint has reached its full capacity, as far as its start tells."""
+        endpoint = self.controller.endpoints.get(self._indices.get(name, -1))
+        return endpoint is not None and self.controller.ramp(endpoint) == 1
+
     def _line(self, index: int, weight: float, share: float) -> TableLine:
         endpoint = self.controller.endpoints[index]
         multiple = self.controller.rules.get("fall_multiple", 4.0)
--- a/ravenshelf/distribution/decisions/relay.py
+++ b/ravenshelf/distribution/decisions/relay.py
@@ -7,13 +7,15 @@
 from dataclasses import dataclass, field
 from typing import Iterable, Mapping, Sequence
 
+from ravenshelf.distribution.decisions.aggregation import WINDOW, Aggregator
 from ravenshelf.distribution.decisions.backoff import SECOND
 from ravenshelf.distribution.decisions.claims import claims_topic, read_claims, service_of
-from ravenshelf.distribution.decisions.client import Action, LivenessChanged, SubscriptionClient, TopicChanged
+from ravenshelf.distribution.decisions.client import (
+    Action, LivenessChanged, Send, State, SubscriptionClient, TopicChanged)
 from ravenshelf.distribution.decisions.distributor import Distributor, DistributorLimits
 from ravenshelf.distribution.decisions.ownership import OwnershipView
 from ravenshelf.distribution.decisions.topics import Topic
-from ravenshelf.distribution.messages import Message, Resync, Subscribe, Unsubscribe
+from ravenshelf.distribution.messages import Message, Report, Resync, Subscribe, Unsubscribe
 
 LINGER = 10 * SECOND            # a topic is kept for so long after its last subscriber has gone
 ORPHANED_AFTER = 5 * SECOND     # an upstream that is gone for so long reaches no owner any more
@@ -29,9 +31,10 @@
 class Relay:
     """Between upstreams, reached by `clients`, and subscribers, served by `distributor`."""
 
-    def __init__(self, upstreams: Mapping[str, Sequence[str]], chance: random.Random, now: int,
+    def __init__(self, name: str, upstreams: Mapping[str, Sequence[str]], chance: random.Random, now: int,
                  limits: DistributorLimits = DistributorLimits(), owners: bool = False):
-        """`upstreams`: for each its parents, the preferred first. `owners`: they are controllers, named as they are."""
+        """`name`: its own. `upstreams`: for each its parents, the preferred first. `owners`: they are controllers, named
+        as they are."""
         self.topics: dict[str, Topic] = {}
         self.clients = {name: SubscriptionClient(parents, self.topics, chance, now)
                         for name, parents in upstreams.items()}
@@ -42,6 +45,8 @@
         self._unwanted: dict[str, int] = {}             # topics without subscribers, and until when they are kept
         self._not_live: set[str] = set()                # topics, as upstreams say
         self._orphaned: set[str] = set()                # upstreams that are out of reach
+        self.aggregator = Aggregator(f"{name}#{chance.getrandbits(48):012x}")
+        self._window = now // WINDOW
         for name in self.clients if owners else ():
             self.clients[name].want(claims_topic(name))
 
@@ -82,6 +87,21 @@
         claim = self.ownership.claim(service_of(topic))
         return claim.owner if claim is not None and claim.owner in self.clients else None
 
+    # --- sums on the way up ---
+
+    def subscriber_reported(self, report: Report) -> None:
+        """A subscriber's sums; they leave with those of the others at the end of the window."""
+        self.aggregator.add(report)
+
+    def _pass_reports_on(self, now: int, effects: Effects) -> None:
+        self._window = now // WINDOW
+        for report in self.aggregator.flush(self._window, self._is_connected):
+            effects.actions.append((self._upstream_of(report.service + "@"), Send(report)))
+
+    def _is_connected(self, service: str) -> bool:
+        upstream = self._upstream_of(service + "@")
+        return upstream is not None and self.clients[upstream].state is State.CONNECTED
+
     # --- upstreams ---
 
     def upstream_said(self, now: int, upstream: str, message: Message) -> Effects:
@@ -127,7 +147,7 @@
     def due_at(self) -> int:
         """When `tick` may have something to do."""
         clients = min(client.due_at() for client in self.clients.values())
-        return min([clients, *self._unwanted.values(), *(
+        return min([clients, (self._window + 1) * WINDOW, *self._unwanted.values(), *(
             client.disconnected_since + ORPHANED_AFTER for name, client in self.clients.items()
             if client.disconnected_since is not None and name not in self._orphaned)])
 
@@ -142,6 +162,8 @@
                 self._tell_liveness(name, effects)
         for topic in [topic for topic, until in self._unwanted.items() if until <= now]:
             self._forget(topic, effects)
+        if now // WINDOW != self._window:
+            self._pass_reports_on(now, effects)
         return effects
 
     def _forget(self, topic: str, effects: Effects) -> None:
--- a/ravenshelf/distribution/messages.py
+++ b/ravenshelf/distribution/messages.py
@@ -14,6 +14,7 @@
     sequence: int
 
 
+PROTOCOL = 1
 NEVER = Version(0, 0)       # held by a subscriber that has seen nothing yet
 
 
@@ -46,6 +47,13 @@
 Changes = dict[str, Entry | None]       # None: the key is removed
 
 
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """The first message of whoever dials: the protocol's version, the cluster and its own name in it."""
+    protocol: int
+    cluster: str
+    name: str
+
+
 class Subscribe(msgspec.Struct, frozen=True, array_like=True, tag=16):
     """A subscriber wants a topic and holds this version of it."""
     topic: str
@@ -114,7 +122,7 @@
     groups: dict[int, GroupSums]
 
 
-Message = Union[Subscribe, Unsubscribe, Snapshot, Delta, Heartbeat, Resync, TopicLive, Report]
+Message = Union[Hello, Subscribe, Unsubscribe, Snapshot, Delta, Heartbeat, Resync, TopicLive, Report]
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- /dev/null
+++ b/ravenshelf/distribution/subscribers.py
@@ -0,0 +1,132 @@
+"""The serving side on sockets: accepts subscribers, and sends each what the distributor has for it while it reads."""
+import asyncio
+from typing import Iterable, Protocol
+
+from ravenshelf.distribution.connection import ROOM, MessageConnection
+from ravenshelf.distribution.decisions.distributor import Distributor
+from ravenshelf.distribution.messages import PROTOCOL, Hello, Message, Report, Resync, Subscribe, Unsubscribe
+from ravenshelf.distribution.timers import Timers
+from ravenshelf.distribution.upstreams import Clock
+from ravenshelf.memory.buffers import Buffers
+from ravenshelf.net.datagrams import address
+from ravenshelf.net.ends import End
+
+STRANGER_FOR = 2_000_000        # microseconds in which who dials must have said who it is
+STRANGERS_MOST = 256
+
+
+class Listener(Protocol):
+    """Who is told of subscribers."""
+
+    def subscriber_said(self, name: str, message: Subscribe | Unsubscribe | Resync) -> None: ...
+    def subscriber_reported(self, report: Report) -> None: ...
+    def subscriber_lost(self, name: str) -> None: ...
+
+
+class Subscribers:
+    """The connections of a distributor's subscribers."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, buffers: Buffers, cluster: str,
+                 distributor: Distributor, listener: Listener):
+        self.loop, self.clock, self.buffers, self.cluster = loop, clock, buffers, cluster
+        self.distributor, self.listener = distributor, listener
+        self.connections: dict[str, MessageConnection] = {}
+        self.refused = 0
+        self._strangers: dict[int, MessageConnection] = {}
+        self._timers = Timers(loop, clock, self._due)
+        self._server: asyncio.AbstractServer | None = None
+
+    async def start(self, listen: str) -> str:
+        """Listens; gives host:port, with the port that the system gave for 0."""
+        host, port = address(listen)
+        self._server = await self.loop.create_server(lambda: MessageConnection(self.buffers, self), host, port)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Listens no more and ends all connections."""
+        if self._server is not None:
+            self._server.close()
+        self._timers.stop()
+        connections = [*self.connections.values(), *self._strangers.values()]
+        self.connections.clear()
+        self._strangers.clear()
+        for connection in connections:
+            connection.close(End.STOPPING)
+
+    # --- connections ---
+
+    def opened(self, connection: MessageConnection) -> None:
+        if len(self._strangers) >= STRANGERS_MOST:
+            connection.close(End.CROWDED)
+            return
+        self._strangers[id(connection)] = connection
+        self._timers.set(("stranger", id(connection)), self.clock() + STRANGER_FOR)
+
+    def said(self, connection: MessageConnection, message: Message) -> None:
+        if id(connection) in self._strangers:
+            self._introduced(connection, message)
+        elif isinstance(message, Subscribe | Unsubscribe | Resync):
+            self.listener.subscriber_said(connection.name, message)
+            self.pump([connection.name])
+        elif isinstance(message, Report):
+            self.listener.subscriber_reported(message)
+        else:
+            connection.close(End.UNREADABLE)
+
+    def _introduced(self, connection: MessageConnection, message: Message) -> None:
+        self._forget_stranger(connection)
+        known = isinstance(message, Hello) and (message.protocol, message.cluster) == (PROTOCOL, self.cluster)
+        if not known or not message.name:
+            self._refuse(connection)
+            return
+        before = self.connections.pop(message.name, None)
+        if before is not None:          # the process has dialled again
+            before.close(End.SUPERSEDED)
+            self.listener.subscriber_lost(message.name)
+        if not self.distributor.accept(self.clock(), message.name):
+            self._refuse(connection)
+            return
+        connection.name = message.name
+        self.connections[message.name] = connection
+        self.pump([message.name])
+
+    def _refuse(self, connection: MessageConnection) -> None:
+        self.refused += 1
+        connection.close(End.DECLINED)
+
+    def _forget_stranger(self, connection: MessageConnection) -> None:
+        if self._strangers.pop(id(connection), None) is not None:
+            self._timers.drop(("stranger", id(connection)))
+
+    def over(self, connection: MessageConnection) -> None:
+        self._forget_stranger(connection)
+        if self.connections.get(connection.name) is connection:
+            del self.connections[connection.name]
+            self._timers.drop(("pull", connection.name))
+            self.listener.subscriber_lost(connection.name)
+
+    # --- what they are sent ---
+
+    def drained(self, connection: MessageConnection) -> None:
+        if connection.name in self.connections:
+            self.pump([connection.name])
+
+    def pump(self, names: Iterable[str]) -> None:
+        """Sends these subscribers what there is for them, as far as they read."""
+        for name in dict.fromkeys(names):
+            connection = self.connections.get(name)
+            if connection is None or connection.paused:
+                continue
+            now = self.clock()
+            for outgoing in self.distributor.pull(now, name, ROOM):
+                connection.write(outgoing.payload)
+            if connection.end is None and not connection.paused:
+                self._timers.set(("pull", name), self.distributor.due_at(now, name))
+
+    def _due(self, key: tuple) -> None:
+        kind, whom = key
+        if kind == "pull":
+            self.pump([whom])
+        elif whom in self._strangers:
+            self._strangers[whom].close(End.SILENT)
--- a/ravenshelf/events.py
+++ b/ravenshelf/events.py
@@ -156,6 +156,18 @@
                      "The controller ends: what it can't keep it must not promise.", why="the system's words")
 CERTIFICATES_REFUSED = event("leadership.certificates_refused", "WARNING", "the new certificates are not taken: {why}",
                              "Those read before hold.", why="the system's words")
+# --- distribution ---
+
+RELAY_READY = event("distribution.ready", "INFO", "relay {name} listens at {address}, {parents} parents",
+                    "It dials its parents and takes subscribers.", name="its name", address="host:port", parents="count")
+RELAY_STOPPED = event("distribution.stopped", "INFO", "relay {name} stops; {snapshot_bytes} octets of snapshots were sent",
+                      "All connections are ended; subscribers go to other parents.", name="its name",
+                      snapshot_bytes="octets since its start")
+RELAY_FAILED = event("distribution.failed", "ERROR", "the relay can't go on: {why}", "It ends with code 1.",
+                     why="the system's words")
+
+# --- the operator file ---
+
 WAITS_FOR_RESTART = event("operator.waits", "WARNING", "[{table}] has changed and waits for a restart",
                           "All else was taken.", table="table of the operator file")
 
--- a/ravenshelf/leadership/admin.py
+++ b/ravenshelf/leadership/admin.py
@@ -3,6 +3,7 @@
 import json
 import os
 import socket
+from typing import Callable
 
 WORDS = ("status", "drain", "undrain", "handover")
 
@@ -30,11 +31,16 @@
 
 
 async def serve(leadership, path: str) -> asyncio.Server:
+    return await serve_answers(lambda asked: answer(leadership, asked), path)
+
+
+async def serve_answers(answer_to: Callable[[dict], dict], path: str) -> asyncio.Server:
+    """Answers questions at a Unix socket, one JSON object a line each way."""
     async def came(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             line = await asyncio.wait_for(reader.readline(), 5)
             asked = json.loads(line)
-            told = answer(leadership, asked if isinstance(asked, dict) else {})
+            told = answer_to(asked if isinstance(asked, dict) else {})
         except (ValueError, asyncio.TimeoutError, ConnectionError):
             told = {"error": "expected one JSON object a line"}
         writer.write(json.dumps(told).encode() + b"\n")
@@ -57,7 +63,7 @@
 
 
 def ask(path: str, question: dict, seconds: float = 5) -> dict:
-    """Asks a controller and gives its answer; OSError where none is there."""
+    """Asks a controller or relay and gives its answer; OSError where none is there."""
     with socket.socket(socket.AF_UNIX) as asking:
         asking.settimeout(seconds)
         asking.connect(path)
--- a/ravenshelf/leadership/link.py
+++ b/ravenshelf/leadership/link.py
@@ -6,49 +6,32 @@
 """
 import asyncio
 import ssl
-import struct
 from typing import Any, Callable
 
 import msgspec
 
 from ravenshelf.memory.buffers import Buffers
+from ravenshelf.net import frames as net_frames
 from ravenshelf.net.ends import End
 from ravenshelf.net.reading import Reading
 
 VERSION, OLDEST = 1, 1
-MOST_FRAME = 8 * 1024 * 1024
 MOST_UNSENT = 4 * 1024 * 1024       # a member that reads so little is not there
-SIZE = struct.Struct("!I")
 
 
 def frame(message: Any) -> bytes:
-    body = msgspec.msgpack.encode(message)
-    if len(body) > MOST_FRAME:
-        raise ValueError(f"a frame of {len(body)} octets")
-    return SIZE.pack(len(body)) + body
+    return net_frames.pack(msgspec.msgpack.encode(message))
 
 
-class Frames:
+class Frames(net_frames.Frames):
     """Octets in pieces into messages."""
 
-    def __init__(self):
-        self.rest = bytearray()
-
     def feed(self, data: bytes) -> list:
-        self.rest += data
-        out = []
-        while len(self.rest) >= SIZE.size:
-            size = SIZE.unpack_from(self.rest)[0]
-            if size > MOST_FRAME:
-                raise ValueError(f"a frame of {size} octets")
-            if len(self.rest) < SIZE.size + size:
-                break
-            message = msgspec.msgpack.decode(bytes(self.rest[SIZE.size:SIZE.size + size]))
-            del self.rest[:SIZE.size + size]
-            if not isinstance(message, list) or not message or not isinstance(message[0], str):
-                raise ValueError("no message")
-            out.append(message)
-        return out
+        """Raises ValueError or msgspec.DecodeError where a frame holds no message."""
+        messages = [msgspec.msgpack.decode(body) for body in super().feed(data)]
+        if not all(isinstance(message, list) and message and isinstance(message[0], str) for message in messages):
+            raise ValueError("no message")
+        return messages
 
 
 class Link(Reading):
--- a/ravenshelf/operating/reading.py
+++ b/ravenshelf/operating/reading.py
@@ -81,6 +81,7 @@
         wrong.append(f"{file}: [collectd] users: found nothing, expected a file, since security is "
                      f'"{collectd.security}"')
     _leadership(file, operator, wrong)
+    _distribution(file, operator, wrong)
     if background.turn_ms > background.a_second_ms:
         wrong.append(f"{file}: [background] turn_ms: found {background.turn_ms:g}, expected at most a_second_ms "
                      f"({background.a_second_ms:g})")
@@ -110,6 +111,23 @@
                      "together")
 
 
+def _distribution(file: str, operator: Operator, wrong: list[str]) -> None:
+    table = operator.distribution
+    if not table.name:
+        return
+    if not table.cluster:
+        wrong.append(f"{file}: [distribution] cluster: found nothing, expected a name that all relays and controllers share")
+    if not _address(table.listen):
+        wrong.append(f"{file}: [distribution] listen: found {_shown(table.listen)}, expected host:port")
+    if not table.parents:
+        wrong.append(f"{file}: [distribution] parents: found none, expected one or more of name = \"host:port\"")
+    for name, place in table.parents.items():
+        if not _address(place) or place.endswith(":0"):
+            wrong.append(f"{file}: [distribution] parents.{name}: found {_shown(place)}, expected host:port")
+        if name == table.name:
+            wrong.append(f"{file}: [distribution] parents.{name}: found this relay itself, expected others")
+
+
 def check(said: dict, file: str) -> Operator:
     """The tables of what a TOML file says, or Wrong."""
     wrong, known, taken = [], tables(), {}
@@ -149,7 +167,8 @@
     wrong = []
     for name, on, modules in (("graphite", operator.graphite.receivers, ("hdrh", "xxhash")),
                               ("collectd", operator.collectd.listen, ("cryptography", "xxhash")),
-                              ("leadership", operator.leadership.name, ("xxhash",))):
+                              ("leadership", operator.leadership.name, ("xxhash",)),
+                              ("distribution", operator.distribution.name, ("xxhash",))):
         lacks = [module for module in modules if on and importlib.util.find_spec(module) is None]
         if lacks:
             wrong.append(f"{file}: [{name}]: found no {', '.join(lacks)}, expected the extra {name} to be installed")
--- a/ravenshelf/operating/tables.py
+++ b/ravenshelf/operating/tables.py
@@ -63,6 +63,18 @@
     admin: said(str, "the path of a Unix socket") = ""
 
 
+class Distribution(Struct, forbid_unknown_fields=True, frozen=True):
+    """A relay of the distribution of tables; off without a name. It runs as a process of its own: `ravenshelf distribution relay`."""
+    name: said(str, "this relay's name, its own in the cluster, or \"\" for off") = ""
+    cluster: said(str, "a name that all relays and controllers share") = ""
+    listen: said(str, '"host:port" for subscribers') = ""
+    parents: said(dict[str, str], 'a table of name = "host:port", the preferred parent first') = field(default_factory=dict)
+    owners: said(bool, "true where the parents are the controllers that publish") = False
+    subscribers: said(int, "a whole number from 1 to 65536", ge=1, le=65_536) = 128
+    snapshot_mb_s: said(float, "a number from 0.01 to 10000", ge=0.01, le=10_000) = 4.0
+    admin: said(str, "the path of a Unix socket") = ""
+
+
 class Store(Struct, forbid_unknown_fields=True, frozen=True):
     """State that survives a crash."""
     folder: said(str, "the path of a folder of this pilot's own") = ""
@@ -75,4 +87,5 @@
     graphite: Graphite = field(default_factory=Graphite)
     collectd: Collectd = field(default_factory=Collectd)
     leadership: Leadership = field(default_factory=Leadership)
+    distribution: Distribution = field(default_factory=Distribution)
     store: Store = field(default_factory=Store)
--- a/ravenshelf/process/logs.py
+++ b/ravenshelf/process/logs.py
@@ -13,6 +13,7 @@
 
 __all__ = ["LEVELS", "Sink", "start"]
 A_SECOND, BURST, WAITING = 20, 200, 1000
+FLUSH_TIMEOUT = 0.15    # seconds for the last lines; with the 0.25 that streams may take, well within the 0.7 until SIGKILL
 
 
 class Sink:
--- a/ravenshelf/process/run.py
+++ b/ravenshelf/process/run.py
@@ -10,8 +10,6 @@
 from ravenshelf.process.clock import Clock
 from ravenshelf.process.pilot import serve
 
-LOG_FLUSH_TIMEOUT = 0.15       # seconds for the log's last lines; with the 0.25 that streams may take, well within the 0.7 until SIGKILL
-
 
 def run(configuration: dict, again: Callable[[], dict], level: str, counters_every: float, operator=None,
         operator_again: Callable | None = None) -> int:
@@ -26,5 +24,5 @@
         code = 1
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1):
         signal.signal(number, signal.SIG_IGN)   # the interpreter's end gives them back to the system: one more would kill
-    sink.finish(LOG_FLUSH_TIMEOUT)
+    sink.finish(logs.FLUSH_TIMEOUT)
     return code
--- a/standins/distribution/nodes.py
+++ b/standins/distribution/nodes.py
@@ -296,7 +296,7 @@
         self._start()
 
     def _start(self) -> None:
-        self.relay = Relay(self.upstreams, self.chance, self.now, self.limits, self.owners)
+        self.relay = Relay(self.name, self.upstreams, self.chance, self.now, self.limits, self.owners)
         self.clients, self.distributor = self.relay.clients, self.relay.distributor
         self.arm()
 
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -16,6 +16,7 @@
 from ravenshelf.distribution.decisions.ownership import Claim, OwnershipView, Tenure, replicas, shard_of_service
 from ravenshelf.distribution.decisions.planner import ServicePlanner, endpoints_of, table_of
 from ravenshelf.distribution.decisions.publication import FLUSH_EVERY, Publication
+from ravenshelf.distribution.decisions.relay import Relay
 from ravenshelf.distribution.decisions.topics import PART_ENTRIES, Outcome, Topic
 from ravenshelf.distribution.decisions.tree import levels, parents_of_all
 from ravenshelf.distribution.messages import (
@@ -500,3 +501,15 @@
     child.connect()
     [message] = child.served.pulled("child", now=child.now)
     assert child.client.receive(child.now, message) == [TopicChanged("t")]
+
+
+def test_a_reporter_that_starts_again_is_heard_and_sums_wait_for_an_owner_in_reach():
+    names = {Relay("r", {"tree": ["p"]}, random.Random(seed), NOW).aggregator.name for seed in (1, 2)}
+    assert len(names) == 2 and all(name.startswith("r#") for name in names)
+    relay = Relay("r", {"tree": ["p"]}, random.Random(1), NOW)
+    relay.subscriber_reported(report("a", 1))
+    assert not any(isinstance(action, Send) for _, action in relay.tick(NOW + SECOND).actions)
+    relay.upstream_connected(NOW + SECOND, "tree")
+    relay.subscriber_reported(report("b", 1))
+    sent = [action.message for _, action in relay.tick(NOW + 2 * SECOND).actions if isinstance(action, Send)]
+    assert [one.endpoints["a"].tries for one in sent] == [20]
