Relays and controllers on sockets share one service; the virtual nodes in two modules

Change: ServingService for both; standins/distribution/node.py for what every process has, nodes.py for the kinds. No behaviour changes.

--- a/ravenshelf/distribution/owner_service.py
+++ b/ravenshelf/distribution/owner_service.py
@@ -8,15 +8,11 @@
 from ravenshelf.distribution.decisions.owner import Content, Owner
 from ravenshelf.distribution.decisions.ownership import Tenure
 from ravenshelf.distribution.messages import Message, Report, Resync, Subscribe, Unsubscribe
-from ravenshelf.distribution.subscribers import Subscribers
-from ravenshelf.distribution.timers import Timers
-from ravenshelf.distribution.upstreams import Clock, Upstreams
-from ravenshelf.memory.buffers import Buffers
+from ravenshelf.distribution.serving import LOOK_AGAIN, ServingService
+from ravenshelf.distribution.upstreams import Clock
 
-LOOK_AGAIN = 1_000_000  # microseconds: what is due is looked at so often at the least
 
-
-class OwnerService:
+class OwnerService(ServingService):
     """Runs an `Owner` on sockets. Leases are told by the caller: `acquire`, `renew`, `release`, `follow`, `unfollow`."""
 
     def __init__(
@@ -34,24 +30,9 @@
         reported: Callable[[Report], None] = lambda report: None,
     ):
         """`others`: host:port of the other controllers; `reported` is told of sums; the rest as `Owner` takes it."""
-        self.clock, self.reported = clock, reported
+        self.reported = reported
         self.owner = Owner(name, incarnation, shards, content, list(others), chance, clock(), limits)
-        buffers = Buffers()
-        self.upstreams = Upstreams(loop, buffers, cluster, name, self.owner.clients, others, self)
-        self.subscribers = Subscribers(loop, clock, buffers, cluster, self.owner.distributor, self)
-        self._timers = Timers(loop, clock, lambda _: self._tick())
-
-    async def start(self, listen: str) -> str:
-        """Listens and dials the others; gives the address."""
-        at = await self.subscribers.start(listen)
-        self._tick()
-        return at
-
-    def stop(self) -> None:
-        """Ends all connections."""
-        self._timers.stop()
-        self.upstreams.stop()
-        self.subscribers.stop()
+        super().__init__(loop, clock, cluster, name, self.owner.clients, others, self.owner.distributor)
 
     # --- leases ---
 
@@ -87,9 +68,10 @@
 
     # --- time ---
 
-    def _tick(self) -> None:
+    def tick(self) -> None:
+        """Dials the others, publishes what is due."""
         now = self.clock()
-        for name, client in self.owner.clients.items():
+        for name, client in self.clients.items():
             self.upstreams.perform((name, action) for action in client.tick(now))
         self.publish()
 
@@ -98,28 +80,20 @@
         now = self.clock()
         _, to_pull = self.owner.publish(now)
         self.subscribers.pump(to_pull)
-        due = [client.due_at() for client in self.owner.clients.values()]
         pending = self.owner.due_at(now)
-        self._timers.set("tick", min([now + LOOK_AGAIN, *due, *([pending] if pending is not None else [])]))
+        dues = [client.due_at() for client in self.clients.values()] + ([pending] if pending is not None else [])
+        self.tick_at(min(dues, default=now + LOOK_AGAIN))
 
     # --- the other controllers ---
 
     def upstream_connected(self, upstream: str) -> None:
         """A dial has come off."""
-        client = self.owner.clients[upstream]
-        self.upstreams.perform((upstream, action) for action in client.connected(self.clock()))
+        actions = self.clients[upstream].connected(self.clock())
+        self.upstreams.perform((upstream, action) for action in actions)
 
     def upstream_said(self, upstream: str, message: Message) -> None:
         """A parent says something."""
-        effects = self.owner.upstream_said(self.clock(), upstream, message)
-        self.upstreams.perform(effects.actions)
-        self.subscribers.pump(effects.to_pull)
-
-    def upstream_lost(self, upstream: str) -> None:
-        """A connection has ended, or a dial has failed."""
-        client = self.owner.clients[upstream]
-        self.upstreams.perform((upstream, action) for action in client.lost(self.clock()))
-        self._timers.set("tick", client.due_at())
+        self.apply(self.owner.upstream_said(self.clock(), upstream, message))
 
     # --- subscribers ---
 
--- a/ravenshelf/distribution/relay_service.py
+++ b/ravenshelf/distribution/relay_service.py
@@ -5,17 +5,13 @@
 from collections.abc import Mapping, Sequence
 
 from ravenshelf.distribution.decisions.distributor import DistributorLimits
-from ravenshelf.distribution.decisions.relay import Effects, Relay
+from ravenshelf.distribution.decisions.relay import Relay
 from ravenshelf.distribution.messages import Message, Report, Resync, Subscribe, Unsubscribe
-from ravenshelf.distribution.subscribers import Subscribers
-from ravenshelf.distribution.timers import Timers
-from ravenshelf.distribution.upstreams import Clock, Upstreams
-from ravenshelf.memory.buffers import Buffers
+from ravenshelf.distribution.serving import ServingService
+from ravenshelf.distribution.upstreams import Clock
 
-LOOK_AGAIN = 1_000_000  # microseconds: what is due is looked at so often at the least
 
-
-class RelayService:
+class RelayService(ServingService):
     """Runs a `Relay` on sockets."""
 
     def __init__(
@@ -31,55 +27,29 @@
         owners: bool = False,
     ):
         """`upstreams` and `owners` as `Relay` takes them; `addresses`: host:port of each parent."""
-        self.clock, self.cluster, self.name = clock, cluster, name
         self.relay = Relay(name, upstreams, chance, clock(), limits, owners)
-        buffers = Buffers()
-        self.upstreams = Upstreams(loop, buffers, cluster, name, self.relay.clients, addresses, self)
-        self.subscribers = Subscribers(loop, clock, buffers, cluster, self.relay.distributor, self)
-        self._timers = Timers(loop, clock, lambda _: self._tick())
-
-    async def start(self, listen: str) -> str:
-        """Listens and dials; gives the address."""
-        at = await self.subscribers.start(listen)
-        self._tick()
-        return at
-
-    def stop(self) -> None:
-        """Ends all connections."""
-        self._timers.stop()
-        self.upstreams.stop()
-        self.subscribers.stop()
+        super().__init__(loop, clock, cluster, name, self.relay.clients, addresses, self.relay.distributor)
 
-    def _apply(self, effects: Effects) -> None:
-        self.upstreams.perform(effects.actions)
-        self.subscribers.pump(effects.to_pull)
-
-    def _tick(self) -> None:
-        now = self.clock()
-        self._apply(self.relay.tick(now))
-        self._timers.set("tick", min(self.relay.due_at(), now + LOOK_AGAIN))
+    def tick(self) -> None:
+        """Dials, passes sums on, forgets what nobody wants."""
+        self.apply(self.relay.tick(self.clock()))
+        self.tick_at(self.relay.due_at())
 
     # --- upstreams ---
 
     def upstream_connected(self, upstream: str) -> None:
         """A dial has come off."""
-        self._apply(self.relay.upstream_connected(self.clock(), upstream))
+        self.apply(self.relay.upstream_connected(self.clock(), upstream))
 
     def upstream_said(self, upstream: str, message: Message) -> None:
         """A parent says something."""
-        self._apply(self.relay.upstream_said(self.clock(), upstream, message))
-
-    def upstream_lost(self, upstream: str) -> None:
-        """A connection has ended, or a dial has failed."""
-        client = self.relay.clients[upstream]
-        self.upstreams.perform((upstream, action) for action in client.lost(self.clock()))
-        self._timers.set("tick", client.due_at())
+        self.apply(self.relay.upstream_said(self.clock(), upstream, message))
 
     # --- subscribers ---
 
     def subscriber_said(self, name: str, message: Subscribe | Unsubscribe | Resync) -> None:
         """What a subscriber wants has changed."""
-        self._apply(self.relay.subscriber_said(self.clock(), name, message))
+        self.apply(self.relay.subscriber_said(self.clock(), name, message))
 
     def subscriber_reported(self, report: Report) -> None:
         """A subscriber's sums."""
@@ -87,7 +57,7 @@
 
     def subscriber_lost(self, name: str) -> None:
         """A subscriber's connection has ended."""
-        self._apply(self.relay.subscriber_lost(self.clock(), name))
+        self.apply(self.relay.subscriber_lost(self.clock(), name))
 
     # --- what an operator asks ---
 
--- a/standins/distribution/network.py
+++ b/standins/distribution/network.py
@@ -11,7 +11,7 @@
 from standins.fleet.clock import SECOND, EventQueue
 
 if TYPE_CHECKING:
-    from standins.distribution.nodes import Node
+    from standins.distribution.node import Node
 
 MILLISECOND = 1000
 RETRANSMISSION = 250 * MILLISECOND  # how late a message is that was lost once on the way
--- a/standins/distribution/world.py
+++ b/standins/distribution/world.py
@@ -13,7 +13,8 @@
 from ravenshelf.distribution.messages import EndpointEntry, Entry, Setting, TableLine, Version
 from standins.distribution.leases import Leases
 from standins.distribution.network import Network, NetworkRules
-from standins.distribution.nodes import Node, OwnerNode, PilotNode, RelayNode
+from standins.distribution.node import Node
+from standins.distribution.nodes import OwnerNode, PilotNode, RelayNode
 from standins.fleet.clock import SECOND, EventQueue
 
 OWNER_PREFIX = "owner-"
