Services that an owner gives up have none; parts of 5 KB; subscribers that read nothing are ended

Need, found by reading the distribution again: a controller that lives and has lost its leases left its topics "live", so that pilots without any owner would never decide for themselves; a part of 20 KB takes 2.9 s of a pilot's 7 KB/s, and 3 s of silence end a connection; a subscriber that reads nothing kept its place for good.

Change: OwnershipView.hear_all takes the claims that a controller makes no more; PART_ENTRIES 512 -> 128; Subscribers ends who leaves what it was sent unread for 30 s. Each with a test that fails without (no lease granted while all controllers live; a deaf subscriber).

--- a/ravenshelf/distribution/decisions/aggregation.py
+++ b/ravenshelf/distribution/decisions/aggregation.py
@@ -1,8 +1,8 @@
 """Sums on the way up: the reports of many pilots become one report a service, zone and window.
 
 Each hop counts a report once: it is known by its reporter, a name for each start of a process, and its sequence number.
-What comes after its window was passed on goes with the next one, so a late report is counted late, never twice and never
-lost while its sender lives.
+What comes after its window was passed on goes with the next one, so a late report is counted late and never twice. What
+is on its way when a connection breaks is lost.
 """
 
 from collections.abc import Callable
--- a/ravenshelf/distribution/decisions/ownership.py
+++ b/ravenshelf/distribution/decisions/ownership.py
@@ -37,18 +37,31 @@
 
     def __init__(self) -> None:
         self._claims: dict[str, Claim] = {}
+        self._vacant: set[str] = set()  # services whose last owner has given them up
 
     def hear(self, service: str, claim: Claim) -> bool:
         """Takes a claim; True where it changes who owns the service."""
         known = self._claims.get(service)
         if known is not None and claim.epoch <= known.epoch:
             return False
+        was_vacant = service in self._vacant
+        self._vacant.discard(service)
         self._claims[service] = claim
-        return known is None or known.owner != claim.owner
+        return known is None or was_vacant or known.owner != claim.owner
+
+    def hear_all(self, owner: str, claims: Mapping[str, Claim]) -> set[str]:
+        """Takes all that a controller claims now; gives the services whose owner has changed, to it, or to nobody where it
+        claims them no more."""
+        changed = {service for service, claim in claims.items() if self.hear(service, claim)}
+        for service, claim in self._claims.items():
+            if claim.owner == owner and service not in claims and service not in self._vacant:
+                self._vacant.add(service)
+                changed.add(service)
+        return changed
 
     def claim(self, service: str) -> Claim | None:
-        """The latest claim; None where nobody has claimed the service."""
-        return self._claims.get(service)
+        """The latest claim; None where nobody claims the service."""
+        return None if service in self._vacant else self._claims.get(service)
 
 
 class Tenure:
--- a/ravenshelf/distribution/decisions/relay.py
+++ b/ravenshelf/distribution/decisions/relay.py
@@ -127,11 +127,8 @@
         return effects
 
     def _hear_claims(self, upstream: str, effects: Effects) -> None:
-        moved = {
-            service
-            for service, claim in read_claims(upstream, self.topics[claims_topic(upstream)].entries)
-            if self.ownership.hear(service, claim)
-        }
+        claims = dict(read_claims(upstream, self.topics[claims_topic(upstream)].entries))
+        moved = self.ownership.hear_all(upstream, claims)
         for topic in [topic for topic in self._routes if service_of(topic) in moved]:
             self._lead(topic, effects)
             effects.to_pull += self.distributor.set_live(topic, self._is_live(topic))
--- a/ravenshelf/distribution/decisions/topics.py
+++ b/ravenshelf/distribution/decisions/topics.py
@@ -6,7 +6,7 @@
 
 from ravenshelf.distribution.messages import NEVER, Changes, Delta, Entry, Snapshot, Version
 
-PART_ENTRIES = 512  # entries in one part of a snapshot: some 20 KB, so that others have their turn in between
+PART_ENTRIES = 128  # entries in one part of a snapshot, some 5 KB: a reader of 7 KB/s hears something each second
 
 
 class Outcome(Enum):
--- a/ravenshelf/distribution/subscribers.py
+++ b/ravenshelf/distribution/subscribers.py
@@ -15,6 +15,7 @@
 
 STRANGER_FOR = 2_000_000  # microseconds in which who dials must have said who it is
 STRANGERS_MOST = 256
+UNREAD_FOR = 30_000_000  # microseconds for which a subscriber may leave what it was sent unread
 
 
 class Listener(Protocol):
@@ -122,6 +123,7 @@
         if self.connections.get(connection.name) is connection:
             del self.connections[connection.name]
             self._timers.drop(("pull", connection.name))
+            self._timers.drop(("unread", connection.name))
             self.listener.subscriber_lost(connection.name)
 
     # --- what they are sent ---
@@ -129,6 +131,7 @@
     def drained(self, connection: MessageConnection) -> None:
         """A subscriber has read what it was sent."""
         if connection.name in self.connections:
+            self._timers.drop(("unread", connection.name))
             self.pump([connection.name])
 
     def pump(self, names: Iterable[str]) -> None:
@@ -141,12 +144,16 @@
             for outgoing in self.distributor.pull(now, name, ROOM):
                 connection.write(outgoing.payload)
                 self.bytes_out += len(outgoing.payload)
-            if connection.end is None and not connection.paused:
+            if connection.paused:
+                self._timers.set(("unread", name), now + UNREAD_FOR)
+            elif connection.end is None:
                 self._timers.set(("pull", name), self.distributor.due_at(now, name))
 
     def _due(self, key: tuple) -> None:
         kind, whom = key
         if kind == "pull":
             self.pump([whom])
+        elif kind == "unread":
+            self.connections[whom].close(End.UNREAD)
         elif whom in self._strangers:
             self._strangers[whom].close(End.SILENT)
--- a/standins/distribution/leases.py
+++ b/standins/distribution/leases.py
@@ -32,6 +32,7 @@
     def __init__(self, world: "World", shards: int):
         self.world, self.shards = world, shards
         self.grants: dict[int, _Grant] = {}
+        self.grants_nothing = False  # as where a majority of the voters is lost
         self.epochs = dict.fromkeys(range(shards), 0)
         self.shard = {service: shard_of_service(service, shards) for service in world.services}
         self.services: dict[int, list[str]] = {}
@@ -65,7 +66,7 @@
                 and now < grant.good_until
             ):
                 grant.good_until = now + LEASE
-            elif (grant is None or now >= grant.good_until) and weights:
+            elif (grant is None or now >= grant.good_until) and weights and not self.grants_nothing:
                 self._grant(shard, rank(shard, weights)[0])
         standby = self._standby(weights)
         for place in weights:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -375,6 +375,15 @@
     assert list(read_claims("a", {key: entry, "junk": ONE})) == [("s", Claim("a", 8))]
 
 
+def test_a_service_that_its_owner_gives_up_has_none_until_it_is_claimed_again():
+    view = OwnershipView()
+    assert view.hear_all("a", {"s": Claim("a", 3), "t": Claim("a", 3)}) == {"s", "t"}
+    assert view.hear_all("a", {"t": Claim("a", 3)}) == {"s"} and view.claim("s") is None
+    assert view.hear_all("a", {"t": Claim("a", 3)}) == set()
+    assert view.hear_all("b", {"s": Claim("b", 2)}) == set() and view.claim("s") is None
+    assert view.hear_all("a", {"s": Claim("a", 4), "t": Claim("a", 3)}) == {"s"} and view.claim("s") == Claim("a", 4)
+
+
 def test_services_spread_evenly_and_a_lost_owner_moves_only_its_own():
     weights = dict.fromkeys(range(30), 1.0)
     owned = [shard_of_service(f"service-{n}", 256) for n in range(1200)]
--- a/tests/test_distribution_sockets.py
+++ b/tests/test_distribution_sockets.py
@@ -13,6 +13,7 @@
 import pytest
 from test_distribution import SETTINGS
 
+from ravenshelf.distribution import subscribers
 from ravenshelf.distribution.connection import MessageConnection
 from ravenshelf.distribution.decisions.deciding import Service, ServiceDecisions
 from ravenshelf.distribution.decisions.distributor import DistributorLimits
@@ -220,6 +221,28 @@
     on_sockets(play)
 
 
+def test_a_subscriber_that_reads_nothing_is_ended_and_the_others_go_on(monkeypatch):
+    monkeypatch.setattr(subscribers, "UNREAD_FOR", SECOND // 2)
+
+    async def play(there: Installation) -> None:
+        await there.until(lambda: there.holds("0"))
+        side, connection = await dial(there)
+        connection.send(Hello(PROTOCOL, "test", "deaf"))
+        connection.send(Subscribe("s@", NEVER))
+        await there.until(lambda: "deaf" in there.relay.subscribers.connections)
+        connection.transport.pause_reading()
+        for turn in itertools.count():
+            there.say(f"{turn}" + "x" * 100_000)
+            await asyncio.sleep(0.02)
+            if "deaf" not in there.relay.subscribers.connections:
+                break
+        there.say("7")
+        await there.until(lambda: there.holds("7"))
+        connection.transport.abort()
+
+    on_sockets(play)
+
+
 def test_frames_in_any_pieces_and_the_longest():
     data = pack(b"one") + pack(b"") + pack(b"x" * 70_000)
     frames, bodies = Frames(), []
--- a/tests/test_distribution_world.py
+++ b/tests/test_distribution_world.py
@@ -182,6 +182,22 @@
     converged(world)
 
 
+def test_when_no_lease_can_be_granted_pilots_are_told_though_the_controllers_live():
+    world = settled()
+    topics = {pilot.name: list(pilot.client.held.versions()) for pilot in world.pilots}
+    for owner in world.owners:
+        for service in list(owner.owner.tenures):
+            owner.run(lambda owner=owner, service=service: owner.owner.release(owner.now, service))
+    world.leases.grants.clear()
+    world.leases.grants_nothing = True
+    world.run(10)
+    assert not any(pilot.live.get(topic, True) for pilot in world.pilots for topic in topics[pilot.name])
+    world.leases.grants_nothing = False
+    world.run(10)
+    assert all(pilot.live[topic] for pilot in world.pilots for topic in topics[pilot.name])
+    converged(world)
+
+
 def test_a_level_of_relays_killed_in_the_middle_comes_back_without_a_stampede():
     world = settled(Size(pilots=120, services=4, fan_out=16, services_called=2))
     middle = world.levels[-2]
