A pilot takes its tables from its service's owner, and sends sums up

Need: the distribution ended at relays; a pilot still decided for itself, so a service was not decided once.

Change: [distribution] service: serve subscribes to the service's topics for the zones of its proxies. Channel, drains, cold endpoints, staging and admission stay the pilot's. Off by default; a pilot without it imports nothing of it.

--- a/ravenshelf/commands.py
+++ b/ravenshelf/commands.py
@@ -149,8 +149,8 @@
 def run_relay(operator: OperatorFile = None, level: Annotated[str, typer.Option("--log-level")] = "INFO"):
     """Run one relay, as [distribution] of the operator file says, until SIGTERM."""
     tables = read_operator(operator)
-    if tables is None or not tables.distribution.name:
-        raise refuse(f"{operator or '--operator'}: [distribution] name: found nothing, expected this relay's name")
+    if tables is None or not tables.distribution.listen:
+        raise refuse(f"{operator or '--operator'}: [distribution] listen: found nothing, expected host:port for subscribers")
     from ravenshelf.process import relay
     raise typer.Exit(relay.run(tables, level.upper()))
 
--- a/ravenshelf/operating/reading.py
+++ b/ravenshelf/operating/reading.py
@@ -117,7 +117,12 @@
         return
     if not table.cluster:
         wrong.append(f"{file}: [distribution] cluster: found nothing, expected a name that all relays and controllers share")
-    if not _address(table.listen):
+    if bool(table.service) == bool(table.listen):
+        wrong.append(f"{file}: [distribution]: found {'both' if table.service else 'neither'} service and listen, expected "
+                     "service for a pilot or listen for a relay")
+    if "@" in table.service or "/" in table.service:
+        wrong.append(f"{file}: [distribution] service: found {_shown(table.service)}, expected a name without @ and /")
+    if table.listen and not _address(table.listen):
         wrong.append(f"{file}: [distribution] listen: found {_shown(table.listen)}, expected host:port")
     if not table.parents:
         wrong.append(f"{file}: [distribution] parents: found none, expected one or more of name = \"host:port\"")
--- a/ravenshelf/operating/tables.py
+++ b/ravenshelf/operating/tables.py
@@ -64,8 +64,10 @@
 
 
 class Distribution(Struct, forbid_unknown_fields=True, frozen=True):
-    """A relay of the distribution of tables; off without a name. It runs as a process of its own: `ravenshelf distribution relay`."""
-    name: said(str, "this relay's name, its own in the cluster, or \"\" for off") = ""
+    """Tables decided once a service; off without a name. With `service` a pilot subscribes to its tables; with `listen` the
+    file is a relay's, a process of its own: `ravenshelf distribution relay`."""
+    name: said(str, "this process's name, its own in the cluster, or \"\" for off") = ""
+    service: said(str, "the service that this pilot's proxies call, or \"\" for none") = ""
     cluster: said(str, "a name that all relays and controllers share") = ""
     listen: said(str, '"host:port" for subscribers') = ""
     parents: said(dict[str, str], 'a table of name = "host:port", the preferred parent first') = field(default_factory=dict)
--- a/ravenshelf/process/operations.py
+++ b/ravenshelf/process/operations.py
@@ -38,6 +38,9 @@
         self.places: tuple[int, dict] = (-1, {})        # the list's version, endpoints by host
         self.before: dict[str, float] = {}
         self.users_seen: float = 0.0
+        self.distribution = None
+        if operator.distribution.service:
+            self._subscribe()   # before the first round: its controller takes the owner's tables
         if operator.leadership.name:
             self._lead()        # before anyone is accepted: what joins is owned or not from the first
 
@@ -49,11 +52,24 @@
     async def start(self) -> None:
         if self.leadership is not None:
             await self.leadership.start()
+        if self.distribution is not None:
+            self.distribution.start()
         if self.operator.graphite.receivers:
             self._start_graphite()
         if self.operator.collectd.listen:
             await self._start_collectd()
 
+    # --- tables of the service's owner ---
+
+    def _subscribe(self) -> None:
+        from ravenshelf.distribution.pilot_service import PilotDistribution
+        from ravenshelf.leadership.service import clock
+        pilot, table = self.pilot, self.operator.distribution
+        self.distribution = pilot.sums = PilotDistribution(
+            table.service, table.cluster, table.name, table.parents, pilot.loop, clock, self.chance,
+            name_of=lambda index: pilot.listing.names[index], index_of=pilot.listing.index.get)
+        pilot.rounds.decide_with(self.distribution.controller)
+
     # --- other controllers ---
 
     def _lead(self) -> None:
@@ -240,7 +256,8 @@
                 self.leadership.read_certificates()
             except OSError as why:
                 events.CERTIFICATES_REFUSED(why=str(why))
-            for name in {"leadership", "store"} & set(names):
+        for name in sorted({"leadership", "store", "distribution"} & set(names)):
+            if name == "distribution" or self.leadership is not None:
                 events.WAITS_FOR_RESTART(table=name)
         done(", ".join(f"[{name}]" for name in names) or "nothing changed")
 
@@ -276,6 +293,8 @@
             self.listener.signals.machines = was.signals.machines
 
     def close(self) -> None:
+        if self.distribution is not None:
+            self.distribution.stop()
         if self.leadership is not None:
             self.leadership.close()
         if self.graphite is not None:
--- a/ravenshelf/process/pilot.py
+++ b/ravenshelf/process/pilot.py
@@ -72,6 +72,7 @@
         self.ended_by: str | None = None    # what it can't go on without
         self.log = None             # the log's sink, whose form a new operator file may change
         self.tap = None             # hears all that the module hears, where figures are sent
+        self.sums = None            # hears it too, where a service's owner decides its tables
         self.gate = None            # keeps from it what is other controllers', where several share the fleet
         self.ready, self.last_round, self.round_at = False, 0, 0
         self.stopping, self.stopped = False, loop.create_future()
@@ -149,6 +150,8 @@
         self.rounds.hear(name, values)
         if self.tap is not None:
             self.tap.heard(name, values, self.clock())
+        if self.sums is not None:
+            self.sums.heard(name, values, self.clock())
         if self.ready and ("round",) not in self.deadlines.at:
             self.round_at = max(self.clock(), self.last_round + self.tick)
             self.set_deadline(("round",), self.round_at)
--- a/ravenshelf/process/rounds.py
+++ b/ravenshelf/process/rounds.py
@@ -20,8 +20,14 @@
         self.failures = 0
         self.tap = None         # told of each message where figures are sent
         self.gate = None        # judges what may leave, where several controllers share the fleet
+        self.make_controller = Controller
         self.controller = Controller(provisioning, seed)
 
+    def decide_with(self, make_controller: Callable[..., Controller]) -> None:
+        """Another kind of controller decides from now on; called before `begin`."""
+        self.make_controller = make_controller
+        self.controller = make_controller(self.provisioning, self.seed)
+
     def begin(self) -> None:
         """The list as this pilot last had it comes first, then whoever is joined already."""
         self.news = [("listed", ("restored", self.listing.whole()))]
@@ -98,6 +104,6 @@
         self.counters["module_failures"] += 1
         channel = self.controller.channel       # what waits in it waits on, and its marks are not given again
         channel.drop()
-        self.controller = Controller(self.provisioning, self.seed + self.failures, channel)
+        self.controller = self.make_controller(self.provisioning, self.seed + self.failures, channel)
         self.sent.forget()
         self.begin()
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -12,7 +12,7 @@
 from ravenshelf.distribution.decisions.claims import read_claims, service_claim, service_of
 from ravenshelf.distribution.decisions.client import Dial, HangUp, Send, State, SubscriptionClient, TopicChanged
 from ravenshelf.distribution.decisions.distributor import Distributor, DistributorLimits
-from ravenshelf.distribution.decisions.fallback import HOLD_FOR, PilotService, Source
+from ravenshelf.distribution.decisions.fallback import HOLD_FOR, OwnerReach, Source
 from ravenshelf.distribution.decisions.owner import Owner
 from ravenshelf.distribution.decisions.ownership import Claim, OwnershipView, Tenure, replicas, shard_of_service
 from ravenshelf.distribution.decisions.planner import ServicePlanner, endpoints_of, table_of
@@ -544,29 +544,13 @@
     assert largest_share(planned_share, ramp, multiple) == pytest.approx(expected)
 
 
-def test_without_controllers_pilots_go_on_with_the_last_table_and_then_decide_for_themselves():
-    owner, listed, table = planned(20), Topic("s@"), Topic("s@0")
-    listed.replace(version(1, 1), owner.service_entries())
-    table.replace(version(1, 1), owner.zone_entries(0))
-    service = PilotService("s", listed, table, 0, SETTINGS, 1)
-    before = service.table(NOW)
-    service.owner_reachable(NOW, False)
-    assert service.source(NOW + SECOND) is Source.LAST_TABLE and service.table(NOW + SECOND) == before
-    bad = EndpointSums(50, 50)
-    for quarter in range(4 * 40):
-        now = NOW + HOLD_FOR + quarter * SECOND // 4
-        service.round(now)
-        service.report(
-            Report(
-                "s", 0, quarter, "me", quarter + 1, {"e0": bad, "e1": EndpointSums(50, 0, 50 * 200_000)}, {0: GroupSums(100)}
-            ),
-            SECOND // 4,
-        )
-    assert service.source(now) is Source.LOCAL
-    own = service.table(now)
-    assert own["e1"].weight > 10 * own["e0"].weight and set(own) >= {"e1", "e2", "e3"}
-    service.owner_reachable(now, True)
-    assert service.source(now) is Source.OWNER and service.table(now) == before
+def test_an_owner_out_of_reach_leaves_its_last_table_for_a_while_and_takes_over_again_at_once():
+    reach = OwnerReach()
+    assert reach.source(NOW, True) is Source.OWNER
+    assert reach.source(NOW + SECOND, False) is Source.LAST_TABLE
+    assert reach.source(NOW + HOLD_FOR, False) is Source.LAST_TABLE
+    assert reach.source(NOW + SECOND + HOLD_FOR, False) is Source.LOCAL
+    assert reach.source(NOW + 2 * HOLD_FOR, True) is Source.OWNER
 
 
 def test_a_change_is_told_to_the_caller():
--- /dev/null
+++ b/tests/test_distribution_pilot.py
@@ -0,0 +1,200 @@
+"""A pilot whose service's owner decides: the owner's split, the pilot's own guards, and the pilot alone."""
+
+import asyncio
+import json
+import random
+import sys
+from pathlib import Path
+
+import pytest
+from conftest import Kept, listed, met
+from test_distribution_sockets import SECOND, WAIT, clock
+
+from ravenshelf.distribution.decisions.fallback import Source
+from ravenshelf.distribution.decisions.ownership import Tenure
+from ravenshelf.distribution.decisions.pilot_controller import DistributedController
+from ravenshelf.distribution.messages import Report, Setting, TableLine
+from ravenshelf.distribution.owner_service import OwnerService
+from ravenshelf.distribution.relay_service import RelayService
+from ravenshelf.rules import Controller
+from standins.installation import ports
+from standins.world import Discovery, Proxy, configuration, entry
+
+ROOT = Path(__file__).resolve().parent.parent
+INDICES = {f"s-{n}": n for n in range(4)}
+
+
+class Pilot:
+    """The distributed decisions on a clock set by hand; endpoints 0 and 1 in zone 0, 2 and 3 in zone 1."""
+
+    def __init__(self, **weights: float):
+        self.source = Source.OWNER
+        self.table = {f"s-{name[1:]}": TableLine(weight) for name, weight in weights.items()}
+        self.now, self.kept = 1000 * SECOND, Kept()
+        provisioning = {
+            "zones": ["a", "b"],
+            "traffic_groups": [{"name": "look", "utility": 1.0, "effect": "retriable"}],
+            "rules": {"cold_share": 0.2, "warm_after_us": 16 * SECOND, "fall_multiple": 3.0},
+            "discovery": "pushed",
+            "service": {
+                "lines_per_s": 1000.0,
+                "envelope": 3.0,
+                "most_waiting": 2000,
+                "proxy_count": 2,
+                "late_most_us": 300_000,
+            },
+        }
+        self.controller = DistributedController(
+            provisioning,
+            7,
+            owners_table=lambda now, zone: (self.source, self.table if zone == 0 else {}),
+            index_of=INDICES.get,
+        )
+        self.hear(listed("rrrr", how="restored"), ("joined", (0, 0, 10.0, True)), ("joined", (1, 1, 10.0, True)))
+
+    def hear(self, *news) -> None:
+        self.controller.round(self.now, list(news), self.kept)
+
+    def run(self, seconds: float, news=()) -> "Pilot":
+        for quarter in range(round(seconds * 4)):
+            self.now += SECOND // 4
+            self.hear(*(news if quarter % 4 == 0 else ()))
+        return self
+
+    def shares(self, zone: int = 0) -> dict[int, float]:
+        """What the zone's proxy would send where."""
+        lines = {e: w for e, w in self.kept.tables[self.kept.bound[zone]].items() if e not in self.kept.out}
+        return {e: round(w / sum(lines.values()), 3) for e, w in lines.items()}
+
+
+def test_the_owners_table_is_used_where_there_is_one_and_the_own_elsewhere():
+    pilot = Pilot(s0=900.0, s1=50.0, s2=50.0)
+    assert pilot.shares(0) == {0: 0.9, 1: 0.05, 2: 0.05}
+    assert pilot.shares(1) == {2: 0.5, 3: 0.5}
+
+
+def test_a_new_table_of_the_owner_is_in_force_within_two_seconds():
+    pilot = Pilot(s0=900.0, s1=100.0).run(5)
+    pilot.table = {"s-0": TableLine(100.0), "s-1": TableLine(900.0)}
+    pilot.controller.owners_table_changed()
+    assert pilot.run(2).shares() == {0: 0.1, 1: 0.9}
+
+
+def test_what_drains_here_leaves_at_once_whatever_the_owner_says():
+    pilot = Pilot(s0=900.0, s1=60.0, s2=40.0).run(1)
+    pilot.hear(listed("drrr"))
+    assert 0 not in pilot.shares() and set(pilot.shares()) == {1, 2}
+    pilot.run(5)
+    assert set(pilot.shares()) == {1, 2}
+
+
+def test_names_that_are_not_listed_here_are_left_out():
+    pilot = Pilot(s0=500.0, s1=250.0, s9=250.0)
+    assert pilot.shares() == {0: 0.667, 1: 0.333}
+
+
+def test_a_table_of_cold_lines_alone_is_not_used():
+    pilot = Pilot()
+    pilot.table = {"s-0": TableLine(100.0, 0.3)}
+    pilot.controller.owners_table_changed()
+    assert pilot.run(3).shares() == {0: 0.5, 1: 0.5}
+
+
+@pytest.mark.parametrize("source, first", [(Source.OWNER, 0.9), (Source.LAST_TABLE, 0.9), (Source.LOCAL, 0.5)])
+def test_without_an_owner_the_last_table_and_then_the_own_decisions(source, first):
+    pilot = Pilot(s0=900.0, s1=100.0).run(3)
+    pilot.source = source
+    assert pilot.run(6, [met(0, 0), met(0, 1)]).shares()[0] == pytest.approx(first, abs=0.02)
+
+
+def test_alone_it_decides_by_kurmacost_as_a_pilot_without_distribution_does():
+    pilot = Pilot(s0=900.0, s1=100.0)
+    pilot.source = Source.LOCAL
+    plain = Controller(pilot.controller.provisioning, 7)
+    kept, now = Kept(), 1000 * SECOND
+    plain.round(now, [listed("rrrr", how="restored"), ("joined", (0, 0, 10.0, True)), ("joined", (1, 1, 10.0, True))], kept)
+    news = [met(0, 0, dropped=18), met(0, 1, dropped=18), met(1, 2), met(1, 3)]
+    pilot.run(20, news)
+    for quarter in range(80):
+        now += SECOND // 4
+        plain.round(now, list(news) if quarter % 4 == 0 else [], kept)
+    assert pilot.controller.share == plain.share
+    held = {e: w for e, w in kept.tables[kept.bound[0]].items() if e not in kept.out}
+    assert pilot.shares() == {e: round(w / sum(held.values()), 3) for e, w in held.items()}
+
+
+def test_a_real_pilot_takes_the_owners_table_sends_sums_up_and_goes_on_alone(tmp_path):
+    """serve as a process, with a proxy; an owner and a relay in this one."""
+    table = {f"t:s-{n}": TableLine(weight) for n, weight in enumerate((800.0, 100.0, 100.0))}
+    reports: list[Report] = []
+
+    async def until(true, seconds: float = WAIT) -> None:
+        async with asyncio.timeout(seconds):
+            while not true():
+                await asyncio.sleep(0.02)
+
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        owner = OwnerService(
+            loop,
+            clock,
+            "test",
+            "owner-0",
+            1,
+            8,
+            lambda topic: {"c:x": Setting("1")} if topic == "s@" else table,
+            {},
+            random.Random(1),
+            reported=reports.append,
+        )
+        owner_at = await owner.start("127.0.0.1:0")
+        owner.acquire("s", Tenure(1, clock() + 600 * SECOND))
+        relay = RelayService(
+            loop, clock, "test", "relay-0", {"owner-0": ["owner-0"]}, {"owner-0": owner_at}, random.Random(2), owners=True
+        )
+        relay_at = await relay.start("127.0.0.1:0")
+        discovery = await Discovery([entry(f"s-{n}", "north") for n in range(3)]).start()
+        listen = f"127.0.0.1:{ports(1)[0]}"
+        said = configuration(discovery.address, ["north"], 1, listen)
+        said["settings"]["limits"]["probing"] = False
+        (tmp_path / "pilot.json").write_text(json.dumps(said))
+        (tmp_path / "operator.toml").write_text(
+            '[distribution]\nname = "pilot-0"\ncluster = "test"\nservice = "s"\n'
+            f'[distribution.parents]\nrelay-0 = "{relay_at}"\n'
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "ravenshelf",
+            "serve",
+            "--config",
+            str(tmp_path / "pilot.json"),
+            "--operator",
+            str(tmp_path / "operator.toml"),
+            cwd=ROOT,
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        proxy = Proxy(lambda: listen, 0, "north")
+        running = asyncio.create_task(proxy.run())
+        try:
+            await until(lambda: proxy.lines() and proxy.lines().get("s-0", 0) > 7 * proxy.lines().get("s-1", 1000))
+            for _ in range(30):
+                proxy.usage("read", 40)
+                await asyncio.sleep(0.1)
+                if any(report.groups for report in reports):
+                    break
+            assert any(report.service == "s" and report.groups[0].requests >= 40 for report in reports if report.groups)
+            relay.stop()
+            owner.stop()
+            await asyncio.sleep(1)
+            assert proxy.lines()["s-0"] > 7 * proxy.lines()["s-1"]  # it goes on with the last table
+            await until(lambda: proxy.lines()["s-0"] < 2 * proxy.lines()["s-1"], 25)  # and then decides for itself
+        finally:
+            running.cancel()
+            relay.stop()
+            owner.stop()
+            process.terminate()
+            await process.wait()
+
+    asyncio.run(play())
--- a/tests/test_distribution_sockets.py
+++ b/tests/test_distribution_sockets.py
@@ -369,10 +369,12 @@
 @pytest.mark.parametrize(
     "text, complaint",
     [
-        ("", "[distribution] name: found nothing, expected this relay's name"),
+        ("", "[distribution] listen: found nothing, expected host:port"),
         ('[distribution]\nname = "r"\n', "[distribution] cluster: found nothing"),
         ('[distribution]\nname = "r"\ncluster = "c"\nlisten = "here"\n', "listen: found 'here', expected host:port"),
         ('[distribution]\nname = "r"\ncluster = "c"\nlisten = "h:1"\n', "parents: found none, expected one or more"),
+        ('[distribution]\nname = "r"\ncluster = "c"\nlisten = "h:1"\nservice = "s"\n', "found both service and listen"),
+        ('[distribution]\nname = "r"\ncluster = "c"\nservice = "a@b"\n', "service: found 'a@b', expected a name without"),
         (
             '[distribution]\nname = "r"\ncluster = "c"\nlisten = "h:1"\nsubscribers = 0\n'
             '[distribution.parents]\nx = "h:2"\n',
