Controllers as processes: services of a file, shared by leases and taken over

Need: nothing but a library call published tables; the leases of leadership/ and the owners of the distribution did not meet.

Pages, catalogues and checks of the operator file with it.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -478,7 +478,7 @@
         "- Sockets of controllers, and the network's own framing: not in these figures; a relay's process is measured on loopback.",
         "- 20,000 routes, 900,000 tenants and 2 ms added to a request: belong to the forwarder, which is not built.",
         "- 3.4 million requests a second: sums carry counts, so nothing here grows with them.",
-        "- *Missing*: discovery by service for owners (the registry client); a controller's process; several services at one pilot; a way round a whole level of dead relays.",
+        "- *Missing*: services' endpoints from discovery or a registry (the registry client); several services at one pilot; a way round a whole level of dead relays.",
         "",
     ]
 
--- a/ravenshelf/commands.py
+++ b/ravenshelf/commands.py
@@ -155,6 +155,20 @@
     raise typer.Exit(relay.run(tables, level.upper()))
 
 
+@distribution.command("controller")
+def run_controller(config: Config = None, operator: OperatorFile = None, level: Annotated[str, typer.Option("--log-level")] = "INFO"):
+    """Run one controller, as [distribution] and [leadership] of the operator file say, until SIGTERM."""
+    said, tables = read(config), read_operator(operator)
+    if tables is None or not tables.distribution.services:
+        raise refuse(f"{operator or '--operator'}: [distribution] services: found nothing, expected the path of a file of services")
+    from ravenshelf.distribution.services_file import ServicesFileError
+    from ravenshelf.process import controller
+    try:
+        raise typer.Exit(controller.run(said, tables, level.upper()))
+    except ServicesFileError as why:
+        raise refuse(why) from None
+
+
 @distribution.command("status")
 def distribution_status(admin: Admin, as_json: AsJson = False):
     """Topics, subscribers and upstreams of a running relay."""
--- a/ravenshelf/events.py
+++ b/ravenshelf/events.py
@@ -163,7 +163,14 @@
 RELAY_STOPPED = event("distribution.stopped", "INFO", "relay {name} stops; {snapshot_bytes} octets of snapshots were sent",
                       "All connections are ended; subscribers go to other parents.", name="its name",
                       snapshot_bytes="octets since its start")
-RELAY_FAILED = event("distribution.failed", "ERROR", "the relay can't go on: {why}", "It ends with code 1.",
+CONTROLLER_READY = event("distribution.controller_ready", "INFO", "controller {name} publishes at {address}; {services} services",
+                         "It decides the services of the shards whose leases it gets.", name="its name", address="host:port",
+                         services="in the file")
+SERVICES_TAKEN = event("distribution.services_taken", "INFO", "{services} services are in the file", "SIGHUP had it read anew.",
+                       services="count")
+SERVICES_REFUSED = event("distribution.services_refused", "WARNING", "the services are not taken: {why}", "Those read before hold.",
+                         why="what is wrong, and where")
+RELAY_FAILED = event("distribution.failed", "ERROR", "the process can't go on: {why}", "It ends with code 1.",
                      why="the system's words")
 
 # --- the operator file ---
--- a/ravenshelf/operating/reading.py
+++ b/ravenshelf/operating/reading.py
@@ -124,7 +124,9 @@
         wrong.append(f"{file}: [distribution] service: found {_shown(table.service)}, expected a name without @ and /")
     if table.listen and not _address(table.listen):
         wrong.append(f"{file}: [distribution] listen: found {_shown(table.listen)}, expected host:port")
-    if not table.parents:
+    if table.services:
+        _controller(file, operator, wrong)
+    elif not table.parents:
         wrong.append(f"{file}: [distribution] parents: found none, expected one or more of name = \"host:port\"")
     for name, place in table.parents.items():
         if not _address(place) or place.endswith(":0"):
@@ -133,6 +135,18 @@
             wrong.append(f"{file}: [distribution] parents.{name}: found this relay itself, expected others")
 
 
+def _controller(file: str, operator: Operator, wrong: list[str]) -> None:
+    table, leadership = operator.distribution, operator.leadership
+    if not table.listen:
+        wrong.append(f"{file}: [distribution] listen: found nothing, expected host:port, since services is given")
+    if leadership.name != table.name:
+        wrong.append(f"{file}: [distribution] name: found {_shown(table.name)}, expected the name of [leadership], since services is given")
+    others = sorted(set(leadership.members) - {leadership.name})
+    if sorted(table.parents) != others:
+        wrong.append(f"{file}: [distribution] parents: found {_shown(sorted(table.parents))}, expected the other members: "
+                     f"{', '.join(others)}")
+
+
 def check(said: dict, file: str) -> Operator:
     """The tables of what a TOML file says, or Wrong."""
     wrong, known, taken = [], tables(), {}
--- a/ravenshelf/operating/tables.py
+++ b/ravenshelf/operating/tables.py
@@ -65,11 +65,12 @@
 
 class Distribution(Struct, forbid_unknown_fields=True, frozen=True):
     """Tables decided once a service; off without a name. With `service` a pilot subscribes to its tables; with `listen` the
-    file is a relay's, a process of its own: `ravenshelf distribution relay`."""
+    file is a relay's or, with `services` too, a controller's, processes of their own: `ravenshelf distribution`."""
     name: said(str, "this process's name, its own in the cluster, or \"\" for off") = ""
     service: said(str, "the service that this pilot's proxies call, or \"\" for none") = ""
     cluster: said(str, "a name that all relays and controllers share") = ""
     listen: said(str, '"host:port" for subscribers') = ""
+    services: said(str, "the path of a controller's file of services") = ""
     parents: said(dict[str, str], 'a table of name = "host:port", the preferred parent first') = field(default_factory=dict)
     owners: said(bool, "true where the parents are the controllers that publish") = False
     subscribers: said(int, "a whole number from 1 to 65536", ge=1, le=65_536) = 128
--- /dev/null
+++ b/tests/test_distribution_controllers.py
@@ -0,0 +1,220 @@
+"""Controllers as processes: services shared by leases, taken over, and changed by hand."""
+
+import asyncio
+import contextlib
+import json
+import random
+import signal
+import sys
+from pathlib import Path
+
+import pytest
+from test_distribution_sockets import WAIT, clock, run_command
+
+from ravenshelf.distribution.decisions.planner import service_topic, table_of, zone_topic
+from ravenshelf.distribution.messages import Setting
+from ravenshelf.distribution.relay_service import RelayService
+from ravenshelf.distribution.services_file import ServicesFileError, read
+from ravenshelf.distribution.subscription_service import SubscriptionService
+from standins.installation import ports
+from standins.world import configuration
+
+ROOT = Path(__file__).resolve().parent.parent
+SERVICES = [f"service-{n}" for n in range(6)]
+NAMES = ["c0", "c1", "c2"]
+
+
+def services_text(limit: str) -> str:
+    """Six services of three endpoints in zone 0."""
+    out = []
+    for service in SERVICES:
+        out.append(f"[{service}.endpoints]")
+        out += [f'"{service}-{n}" = {{ zone = 0, weight = 1.0 }}' for n in range(3)]
+        out.append(f'[{service}.settings]\nlimit = "{limit}"')
+    return "\n".join(out) + "\n"
+
+
+class Cluster:
+    """Three controllers, a relay next to them, and one subscriber of everything."""
+
+    def __init__(self, folder: Path):
+        self.folder, self.loop = folder, asyncio.get_running_loop()
+        given = ports(6)
+        self.members = {name: f"127.0.0.1:{port}" for name, port in zip(NAMES, given[:3], strict=True)}
+        self.listen = {name: f"127.0.0.1:{port}" for name, port in zip(NAMES, given[3:], strict=True)}
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.versions: dict[str, list] = {}
+
+    async def start(self) -> None:
+        (self.folder / "services.toml").write_text(services_text("1"))
+        said = configuration("127.0.0.1:1", ["north"], 1)
+        (self.folder / "fleet.json").write_text(json.dumps(said))
+        for name in NAMES:
+            self._write_operator_file(name)
+            await self.run(name)
+        self.relay = RelayService(
+            self.loop, clock, "test", "relay-0", {name: [name] for name in NAMES}, self.listen, random.Random(2), owners=True
+        )
+        at = await self.relay.start("127.0.0.1:0")
+        self.pilot = SubscriptionService(
+            self.loop, clock, "test", "pilot-0", ["relay-0"], {"relay-0": at}, random.Random(3),
+            lambda topic: self.versions.setdefault(topic.name, []).append(topic.version),
+        )  # fmt: skip
+        self.pilot.start([topic for service in SERVICES for topic in (service_topic(service), zone_topic(service, 0))])
+
+    def _write_operator_file(self, name: str) -> None:
+        members = "\n".join(f'{member} = "{address}"' for member, address in self.members.items())
+        others = "\n".join(f'{other} = "{address}"' for other, address in self.listen.items() if other != name)
+        (self.folder / f"{name}.toml").write_text(
+            f'[store]\nfolder = "{self.folder / name}"\n[leadership]\nname = "{name}"\ncluster = "test"\nshards = 8\n'
+            f"[leadership.members]\n{members}\n"
+            f'[distribution]\nname = "{name}"\ncluster = "test"\nlisten = "{self.listen[name]}"\n'
+            f'services = "{self.folder / "services.toml"}"\n[distribution.parents]\n{others}\n'
+        )
+
+    async def run(self, name: str) -> None:
+        words = [
+            "distribution",
+            "controller",
+            "--config",
+            str(self.folder / "fleet.json"),
+            "--operator",
+            str(self.folder / f"{name}.toml"),
+        ]
+        log = (self.folder / f"{name}.log").open("ab")
+        self.processes[name] = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "ravenshelf", *words, cwd=ROOT, stdout=log, stderr=log
+        )
+        log.close()
+
+    def limits(self) -> set[str]:
+        """The values of the setting that the subscriber holds, over all services."""
+        held = [self.pilot.topics[service_topic(service)].entries.get("c:limit", Setting("")) for service in SERVICES]
+        return {setting.value for setting in held}
+
+    def owners(self) -> dict[str, str]:
+        """Which controller the relay takes each service from."""
+        claims = {service: self.relay.relay.ownership.claim(service) for service in SERVICES}
+        return {service: claim.owner for service, claim in claims.items() if claim is not None}
+
+    def epochs(self) -> dict[str, int]:
+        return {service: self.pilot.topics[zone_topic(service, 0)].version.epoch for service in SERVICES}
+
+    def tables(self) -> dict[str, dict]:
+        return {service: table_of(self.pilot.topics[zone_topic(service, 0)].entries) for service in SERVICES}
+
+    async def until(self, true, seconds: float = 2 * WAIT) -> None:
+        async with asyncio.timeout(seconds):
+            while not true():
+                await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        self.pilot.stop()
+        self.relay.stop()
+        for process in self.processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in self.processes.values():
+            await asyncio.wait_for(process.wait(), WAIT)
+
+
+def on_a_cluster(play, folder: Path) -> None:
+    async def run() -> None:
+        cluster = Cluster(folder)
+        await cluster.start()
+        try:
+            await cluster.until(lambda: cluster.limits() == {"1"} and all(cluster.tables().values()))
+            await play(cluster)
+            for name, seen in cluster.versions.items():
+                assert seen == sorted(set(seen)), name
+        finally:
+            await cluster.stop()
+
+    asyncio.run(run())
+
+
+def test_a_killed_controllers_services_are_taken_over_and_changes_go_on(tmp_path):
+    async def play(cluster: Cluster) -> None:
+        owners, epochs = cluster.owners(), cluster.epochs()
+        assert len(set(owners.values())) >= 2  # they share
+        lost = owners[SERVICES[0]]
+        cluster.processes[lost].kill()
+        await cluster.until(lambda: lost not in cluster.owners().values())
+        moved = [service for service, owner in owners.items() if owner == lost]
+        await cluster.until(lambda: all(cluster.epochs()[service] > epochs[service] for service in moved))
+        assert all(cluster.epochs()[service] == epochs[service] for service in SERVICES if service not in moved)
+        assert all(cluster.tables().values())
+        (cluster.folder / "services.toml").write_text(services_text("2"))
+        for name in NAMES:
+            if name != lost:
+                cluster.processes[name].send_signal(signal.SIGHUP)
+        await cluster.until(lambda: cluster.limits() == {"2"})
+        await cluster.run(lost)  # it comes back, and nothing goes back
+        await asyncio.sleep(2)
+        assert cluster.limits() == {"2"}
+
+    on_a_cluster(play, tmp_path)
+
+
+def test_a_paused_controller_that_wakes_is_not_obeyed(tmp_path):
+    async def play(cluster: Cluster) -> None:
+        owners = cluster.owners()
+        asleep = owners[SERVICES[0]]
+        cluster.processes[asleep].send_signal(signal.SIGSTOP)
+        await cluster.until(lambda: asleep not in cluster.owners().values())
+        (cluster.folder / "services.toml").write_text(services_text("2"))
+        for process in cluster.processes.values():
+            process.send_signal(signal.SIGHUP)  # the sleeper gets its own as it wakes
+        await cluster.until(lambda: cluster.limits() == {"2"})
+        epochs = cluster.epochs()
+        (cluster.folder / "services.toml").write_text(services_text("3"))
+        cluster.processes[asleep].send_signal(signal.SIGCONT)
+        await asyncio.sleep(0.3)  # what it still believes to own it must not publish
+        for name, process in cluster.processes.items():
+            if name != asleep:
+                process.send_signal(signal.SIGHUP)
+        await cluster.until(lambda: cluster.limits() == {"3"})
+        assert all(cluster.epochs()[service] >= epochs[service] for service in SERVICES)
+
+    on_a_cluster(play, tmp_path)
+
+
+@pytest.mark.parametrize(
+    "text, complaint",
+    [
+        ("[a]\nendpoints = 3\n", "Expected `object`"),
+        ("[a.endpoints]\nx = { zone = 2 }\n", "found zone 2, expected one below 1"),
+        ('["a@b".endpoints]\nx = { zone = 0 }\n', "expected a name without @ and /"),
+        ("[a.endpoints]\nx = { zone = -1 }\n", ">= 0"),
+        ("[a.endpoints]\nx = { weight = 1.0 }\n", "zone"),
+        ("[a.endpoints]\nx = { zone = 0, colour = 1 }\n", "colour"),
+        ("[a", "TOML"),
+    ],
+)
+def test_a_bad_file_of_services_is_refused_with_its_place(tmp_path, text, complaint):
+    file = tmp_path / "services.toml"
+    file.write_text(text)
+    with pytest.raises(ServicesFileError) as refused:
+        read(file, 1)
+    assert str(file) in str(refused.value) and (complaint in str(refused.value) or complaint == "TOML")
+
+
+@pytest.mark.parametrize(
+    "table, complaint",
+    [
+        (
+            'listen = "h:1"\nservices = "s.toml"\n[distribution.parents]\nb = "h:2"\n',
+            "name: found 'a', expected the name of [leadership]",
+        ),
+        ('services = "s.toml"\n', "listen: found nothing, expected host:port"),
+    ],
+)
+def test_a_bad_controllers_table_is_refused(tmp_path, table, complaint):
+    said = configuration("127.0.0.1:1", ["north"], 1)
+    (tmp_path / "fleet.json").write_text(json.dumps(said))
+    (tmp_path / "operator.toml").write_text(f'[distribution]\nname = "a"\ncluster = "c"\n{table}')
+    code, _, words = asyncio.run(
+        run_command("controller", "--config", str(tmp_path / "fleet.json"), "--operator", str(tmp_path / "operator.toml"))
+    )
+    assert code == 2 and complaint in words
