Services whose lease is not good for 5 s are claimed no more, and again once it is

Need, found by reading: while no majority grants, a living controller publishes nothing and its topics went on as "live", so pilots held a frozen table for good instead of deciding for themselves after 10 s.

--- a/ravenshelf/distribution/decisions/owner.py
+++ b/ravenshelf/distribution/decisions/owner.py
@@ -66,6 +66,12 @@
         for topic in [topic for topic in known if service_of(topic) == service]:
             self._publish(now, topic, tenure)
 
+    def claim(self, now: int, service: str, claimed: bool) -> None:
+        """Whether this controller says that it owns a service of its own: not while its lease can't be renewed, so that
+        pilots hear that nobody decides."""
+        key, entry = service_claim(service, self.tenures[service].epoch)
+        self._put(now, claims_topic(self.name), key, entry if claimed else None)
+
     def _publish(self, now: int, topic: str, tenure: Tenure) -> None:
         if self._publish_as(topic, tenure.epoch):
             self.refresh(now, topic)
--- a/ravenshelf/distribution/decisions/ownership.py
+++ b/ravenshelf/distribution/decisions/ownership.py
@@ -41,10 +41,10 @@
 
     def hear(self, service: str, claim: Claim) -> bool:
         """Takes a claim; True where it changes who owns the service."""
-        known = self._claims.get(service)
-        if known is not None and claim.epoch <= known.epoch:
+        known, was_vacant = self._claims.get(service), service in self._vacant
+        again = was_vacant and claim == known  # its lease was good for nothing for a while, and is the same
+        if known is not None and claim.epoch <= known.epoch and not again:
             return False
-        was_vacant = service in self._vacant
         self._vacant.discard(service)
         self._claims[service] = claim
         return known is None or was_vacant or known.owner != claim.owner
--- a/ravenshelf/distribution/leased_services.py
+++ b/ravenshelf/distribution/leased_services.py
@@ -10,6 +10,8 @@
 from ravenshelf.distribution.owner_service import OwnerService
 from ravenshelf.leadership.decisions import GRANTING, Member
 
+UNCLAIMED_AFTER = 5_000_000  # microseconds without a good lease: then its services are not claimed any more
+
 
 class LeasedTenure(Tenure):
     """The right to publish as the lease itself says at that moment."""
@@ -42,6 +44,7 @@
         self.present: dict[int, int] = {}  # proxies with a stream: there are none
         self.publisher: OwnerService | None = None
         self.services: set[str] = set()
+        self._lapsed_since: dict[int, int] = {}  # owned shards whose lease is not good
 
     def serve(self, publisher: OwnerService, services: Iterable[str]) -> None:
         """Publishes by this; the services as the file has them."""
@@ -69,12 +72,14 @@
     def took(self, shard: int, term: int, _record: bytes | None) -> None:
         """A majority has granted the shard's lease."""
         self.owned[shard] = OwnedShard(term)
+        self._lapsed_since.pop(shard, None)
         for service in self._of(shard):
             self._acquire(service, shard)
 
     def lost(self, shard: int) -> None:
         """The shard is another's, or was given away."""
         self.owned.pop(shard, None)
+        self._lapsed_since.pop(shard, None)
         for service in self._of(shard):
             self.publisher.release(service)
 
@@ -87,6 +92,21 @@
         """Streams of proxies in these shards: there are none."""
         return 0
 
+    def look_at_leases(self) -> None:
+        """Called each second: a lease that has not been good for a while is told by claiming its services no more."""
+        now = self.clock()
+        for shard in list(self.owned):
+            if self.member.may_order(now, shard) != GRANTING:
+                since = self._lapsed_since.setdefault(shard, now)
+                if now - since >= UNCLAIMED_AFTER:
+                    self._claim(shard, False)
+            elif self._lapsed_since.pop(shard, None) is not None:
+                self._claim(shard, True)
+
+    def _claim(self, shard: int, claimed: bool) -> None:
+        for service in self._of(shard):
+            self.publisher.claim(service, claimed)
+
     # --- replicas ---
 
     def follow(self) -> None:
--- a/ravenshelf/distribution/owner_service.py
+++ b/ravenshelf/distribution/owner_service.py
@@ -48,6 +48,11 @@
             tenure.renew(good_until)
             self.publish()
 
+    def claim(self, service: str, claimed: bool) -> None:
+        """Whether relays are told that this controller owns a service of its own."""
+        self.owner.claim(self.clock(), service, claimed)
+        self.publish()
+
     def release(self, service: str) -> None:
         """A service's lease has ended."""
         self.owner.release(self.clock(), service)
--- a/ravenshelf/process/controller.py
+++ b/ravenshelf/process/controller.py
@@ -62,6 +62,7 @@
         if now - self._followed_at >= FOLLOW_EVERY:
             self._followed_at = now
             self.leases.follow()
+            self.leases.look_at_leases()
         self.decisions.round(now)
         self.publisher.publish()
         self.loop.call_later(ROUND_EVERY / SECOND, self._round)
--- a/tests/test_distribution_controllers.py
+++ b/tests/test_distribution_controllers.py
@@ -7,15 +7,19 @@
 import signal
 import sys
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
-from test_distribution_sockets import WAIT, clock, run_command
+from test_distribution_sockets import SECOND, WAIT, clock, run_command
 
+from ravenshelf.distribution.decisions.ownership import shard_of_service
 from ravenshelf.distribution.decisions.planner import service_topic, table_of, zone_topic
+from ravenshelf.distribution.leased_services import UNCLAIMED_AFTER, LeasedServices
 from ravenshelf.distribution.messages import Setting
 from ravenshelf.distribution.relay_service import RelayService
 from ravenshelf.distribution.services_file import ServicesFileError, read
 from ravenshelf.distribution.subscription_service import SubscriptionService
+from ravenshelf.leadership.decisions import GRANTING
 from standins.installation import ports
 from standins.world import configuration
 
@@ -180,6 +184,36 @@
     on_a_cluster(play, tmp_path)
 
 
+class LapsingMember:
+    """A member whose lease is good or not as the test says."""
+
+    me = 0
+
+    def __init__(self):
+        self.good = True
+        self.claims = [SimpleNamespace(term=4)] * 8
+
+    def may_order(self, now: int, shard: int) -> str | None:
+        return GRANTING if self.good else None
+
+
+def test_services_are_claimed_no_more_while_the_lease_is_not_good_and_again_when_it_is():
+    told, now = [], [0]
+    leases = LeasedServices(LapsingMember(), NAMES, lambda: now[0], 8)
+    publisher = SimpleNamespace(acquire=lambda *words: None, claim=lambda service, claimed: told.append((service, claimed)))
+    leases.serve(publisher, ["s"])
+    leases.took(shard_of_service("s", 8), 4, None)
+    leases.member.good = False
+    for seconds in range(10):
+        now[0] = seconds * SECOND
+        leases.look_at_leases()
+    assert told and set(told) == {("s", False)} and len(told) == 10 - UNCLAIMED_AFTER // SECOND
+    leases.member.good = True
+    leases.look_at_leases()
+    leases.look_at_leases()
+    assert told[-1] == ("s", True) and told.count(("s", True)) == 1
+
+
 @pytest.mark.parametrize(
     "text, complaint",
     [
