--- a/ravenshelf/distribution/connection.py
+++ b/ravenshelf/distribution/connection.py
@@ -1,6 +1,5 @@
 """One connection between a subscriber and its parent: frames of messages."""
 
-from collections.abc import Callable
 from typing import Protocol
 
 from ravenshelf.distribution.messages import Message, MessageError, decode, encode
@@ -88,6 +87,3 @@
     def ended(self) -> None:
         """Told once, by whatever ended it."""
         self.side.over(self)
-
-
-ConnectionMaker = Callable[[], MessageConnection]
--- a/ravenshelf/distribution/decisions/distributor.py
+++ b/ravenshelf/distribution/decisions/distributor.py
@@ -197,11 +197,6 @@
 
     # --- time ---
 
-    def has_work(self, now: int, name: str) -> bool:
-        """Whether a pull would give something, but for the budget."""
-        subscriber = self.subscribers[name]
-        return bool(subscriber.parts or subscriber.dirty) or now >= subscriber.heartbeat_at
-
     def due_at(self, now: int, name: str) -> int:
         """When to pull next for a subscriber whose connection has room."""
         subscriber = self.subscribers[name]
--- a/ravenshelf/distribution/decisions/tree.py
+++ b/ravenshelf/distribution/decisions/tree.py
@@ -1,6 +1,5 @@
 """The tree of relays: levels with a bounded fan-out, and the parents that each node tries, the preferred first."""
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 from math import ceil
 
@@ -43,8 +42,3 @@
         if candidate not in chosen:
             chosen.append(candidate)
     return [level.names[number] for number in chosen]
-
-
-def parents_of_all(nodes: int, level: Level) -> Sequence[list[str]]:
-    """`preferred_parents` of each of so many nodes."""
-    return [preferred_parents(place, nodes, level) for place in range(nodes)]
--- a/ravenshelf/distribution/owner_service.py
+++ b/ravenshelf/distribution/owner_service.py
@@ -13,7 +13,7 @@
 
 
 class OwnerService(ServingService):
-    """Runs an `Owner` on sockets. Leases are told by the caller: `acquire`, `renew`, `release`, `follow`, `unfollow`."""
+    """Runs an `Owner` on sockets. Leases are told by the caller: `acquire`, `claim`, `release`, `follow`, `unfollow`."""
 
     def __init__(
         self,
@@ -41,13 +41,6 @@
         self.owner.acquire(self.clock(), service, tenure)
         self.publish()
 
-    def renew(self, service: str, good_until: int) -> None:
-        """A service's lease was prolonged."""
-        tenure = self.owner.tenures.get(service)
-        if tenure is not None:
-            tenure.renew(good_until)
-            self.publish()
-
     def claim(self, service: str, claimed: bool) -> None:
         """Whether relays are told that this controller owns a service of its own."""
         self.owner.claim(self.clock(), service, claimed)
--- a/ravenshelf/distribution/upstreams.py
+++ b/ravenshelf/distribution/upstreams.py
@@ -108,9 +108,5 @@
         for upstream in self._upstreams.values():
             self._hang_up(upstream, End.STOPPING)
 
-    def bytes_in(self) -> int:
-        """Received on the present connections, without frames."""
-        return sum(one.connection.bytes_in for one in self._upstreams.values() if one.connection is not None)
-
 
 Clock = Callable[[], int]
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -19,7 +19,7 @@
 from ravenshelf.distribution.decisions.publication import FLUSH_EVERY, Publication
 from ravenshelf.distribution.decisions.relay import Relay
 from ravenshelf.distribution.decisions.topics import PART_ENTRIES, Outcome, Topic
-from ravenshelf.distribution.decisions.tree import levels, parents_of_all
+from ravenshelf.distribution.decisions.tree import levels, preferred_parents
 from ravenshelf.distribution.messages import (
     NEVER,
     Delta,
@@ -433,7 +433,7 @@
     made = levels(pilots, fan_out)
     below = pilots
     for level in reversed(made):
-        parents = parents_of_all(below, level)
+        parents = [preferred_parents(place, below, level) for place in range(below)]
         first = Counter(names[0] for names in parents)
         assert max(first.values(), default=0) <= max(1, fan_out // 2)
         assert all(len(set(names)) == len(names) for names in parents)
