--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,7 +16,7 @@
 FIRST_RETURN_AFTER = 12.0
 RETURN_AFTER = (19.0, 20.0, 21.0, 22.0, 23.0)
 # The gateways return this long after the first node. Its listing comes in between.
-GATEWAYS_AFTER = (0.7, 1.0)
+GATEWAYS_AFTER = (0.55, 0.75)
 SOLVE_INTERVAL = 2.5
 END_AT = 50.0
 
