Tables of a zone without proxies are planned before a returning proxy is bound

Cause: Controller._renew_tables plans only the zones of joined proxies, and _apply_joins_and_list_changes planned for a join only if the partition had no table at all. A table from before the loss was bound as it was.

Evidence: a trial with the controller alone printed, cycle by cycle, the zone's table, its time, the deferred tables and the planned spill. The plan had 0.05 of the zone's requests for the cold endpoint from its listing on; the table was the one of the start, no table was deferred, the channel was empty. So spill, slow start and flow control are ruled out.

Change: a plan marks the tables of zones that it does not cover as outdated, and so does the departure of the last user of a deferred table. Outdated tables are planned and written before a proxy is bound. It costs no lines, as they have no users, and tables in use stay as they are.

The same cause acted in three more ways: no endpoint of the zone is back (no endpoint to pick), proxies that move to another server and back, a deferred change whose retry passed over the zone. Each has a test.

--- a/ravenshelf/policy/controller.py
+++ b/ravenshelf/policy/controller.py
@@ -194,6 +194,11 @@
             self.list_urgency = ORDINARY
             tables.deferred_tables = {}
             self.plan(writer, urgency)
+        elif outdated_tables := tables.outdated_tables_of(
+            {self.proxies[index].zone for index in unbound_proxies}
+        ):
+            # No proxy uses these tables, so their changes take no capacity of the channel.
+            self.plan(writer, URGENT, outdated_tables)
         pending_endpoints = self.ejections.pending_endpoints()
         # While ejections are pending, proxies are bound at the highest urgency. A proxy without a table is
         # charged one line for each pending ejection, and these lines together cost more than its table.
@@ -334,6 +339,7 @@
         """
         now = self.now
         zones = {proxy.zone for proxy in self.proxies.values()}
+        self.tables.record_planned_zones(zones)
         self.slow_start.align_returning_zones(zones, self.usable_endpoints(), now)
         effective_weights = self.effective_weights_by_zone()
         demand = self.demand()
--- a/ravenshelf/policy/weight_tables.py
+++ b/ravenshelf/policy/weight_tables.py
@@ -55,6 +55,8 @@
             key None are the proxies that are not bound to a table yet.
         current_tables: The current table of each partition.
         deferred_tables: The tables whose changes did not fit into the channel, with their urgency.
+        outdated_tables: The tables without users whose lines are older than the last plan. They have to be
+            written before a proxy is bound to them.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         self.proxies_by_table: defaultdict[int | None, dict[int, None]] = defaultdict(dict)
         self.current_tables: dict[PartitionKey, int] = {}
         self.deferred_tables: dict[int, int] = {}
+        self.outdated_tables: set[int] = set()
         self._directory = directory
         self._slow_start = slow_start
         self._zone_count = zone_count
@@ -101,8 +104,27 @@
     def remove_proxy(self, index: int) -> None:
         """Remove a proxy that has left; unknown proxies are ignored."""
         proxy = self.proxies.pop(index, None)
-        if proxy is not None:
-            del self.proxies_by_table[proxy.table][index]
+        if proxy is None:
+            return
+        table_proxies = self.proxies_by_table[proxy.table]
+        del table_proxies[index]
+        if proxy.table in self.deferred_tables and not table_proxies:
+            del self.deferred_tables[proxy.table]
+            self.outdated_tables.add(proxy.table)
+
+    def record_planned_zones(self, planned_zones: Collection[int]) -> None:
+        """Record that a plan covers only these zones, so that the tables of the others become outdated."""
+        self.outdated_tables.update(
+            table for (zone, _), table in self.current_tables.items() if zone not in planned_zones
+        )
+
+    def outdated_tables_of(self, zones: Collection[int]) -> set[int]:
+        """Return the current tables of some zones that are outdated."""
+        return {
+            table
+            for (zone, _), table in self.current_tables.items()
+            if zone in zones and table in self.outdated_tables
+        }
 
     def current_table(self, proxy: Proxy) -> int | None:
         """Return the table that a proxy should use; None as long as its partition has none."""
@@ -223,6 +245,7 @@
             written_lines[endpoint] = weight
         self.lines[table] = {endpoint: weight for endpoint, weight in written_lines.items() if weight}
         self.written_at[table] = now
+        self.outdated_tables.discard(table)
         self.channel.charge(table_proxies if changes else (), len(changes))
 
     def _changes_while_deferred(
