A reserve of a proxy's messages is sent at intervals, so that withdrawals never run out

Cause: flow_control.has_capacity compared the messages within the window with a share of the limit by urgency. Each list change went out at once in a message of its own, so a series used up the limit and the next withdrawal waited until the oldest message left the window.

Evidence: a trial with the controller alone printed which limit refused a change: only that of messages, from the 8th on; the queue was at most 110 of 3,000 lines and all acknowledgements came. So queue, unconfirmed lines and a slow channel are ruled out.

A table that withdraws an endpoint counts as a withdrawal for the messages and is written before an ejection alone would use the message; while withdrawals wait, nothing else uses the reserve, so that all proxies of a change become free together. Two counters tell which limit withdrawals wait for.

Two assertions read ChannelFlowControl.sent_times, which has moved. One reads the message times now. The other looked up a proxy in it, which its joining alone had put there; it now looks for the proxy's lines in the batch, which is stricter.

--- a/ravenshelf/policy/controller.py
+++ b/ravenshelf/policy/controller.py
@@ -104,7 +104,9 @@
             ACTIVE_REQUESTS_COLUMN
         )
         self._make_estimators(settings)
-        self._make_tables(settings, channel or ChannelFlowControl(settings.service))
+        self._make_tables(
+            settings, channel or ChannelFlowControl(settings.service, settings.warm_up.drain_grace_us)
+        )
         # Events of any other type are ignored.
         self._handlers: dict[type, Callable[[Any], None]] = {
             EndpointsListed: self.on_endpoints_listed,
@@ -192,13 +194,10 @@
         if self.list_urgency or any(self._lacks_table(index) for index in unbound_proxies):
             urgency = self.list_urgency or URGENT
             self.list_urgency = ORDINARY
-            tables.deferred_tables = {}
+            tables.take_deferred_tables()
             self.plan(writer, urgency)
-        elif outdated_tables := tables.outdated_tables_of(
-            {self.proxies[index].zone for index in unbound_proxies}
-        ):
-            # No proxy uses these tables, so their changes take no capacity of the channel.
-            self.plan(writer, URGENT, outdated_tables)
+        else:
+            self._update_tables_between_plans(unbound_proxies, writer)
         pending_endpoints = self.ejections.pending_endpoints()
         # While ejections are pending, proxies are bound at the highest urgency. A proxy without a table is
         # charged one line for each pending ejection, and these lines together cost more than its table.
@@ -207,12 +206,21 @@
             tables.bind(index, tables.current_table(self.proxies[index]), writer, urgency)
         self.ejections.update(pending_endpoints, writer)
 
+    def _update_tables_between_plans(self, unbound_proxies: list[int], writer: CommandWriter) -> None:
+        """Write the outdated tables of joining proxies, and deferred tables that withdraw an endpoint."""
+        zones = {self.proxies[index].zone for index in unbound_proxies}
+        if outdated_tables := self.tables.outdated_tables_of(zones):
+            # No proxy uses these tables, so their changes take no capacity of the channel.
+            self.plan(writer, URGENT, outdated_tables)
+        # Otherwise the ejection alone would use the message that the table waits for.
+        if self.tables.may_withdraw_by_table():
+            self._retry_deferred_tables(writer)
+
     def _lacks_table(self, index: int) -> bool:
         return self.tables.current_table(self.proxies[index]) is None
 
     def _retry_deferred_tables(self, writer: CommandWriter) -> None:
-        deferred_tables = self.tables.deferred_tables
-        self.tables.deferred_tables = {}
+        deferred_tables = self.tables.take_deferred_tables()
         # Only the deferred tables are written. If all tables were, their drifting weights would keep the
         # queue full while it drains.
         if deferred_tables:
--- a/ravenshelf/policy/ejections.py
+++ b/ravenshelf/policy/ejections.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import TYPE_CHECKING
 
 from ravenshelf.policy.endpoints import Endpoint, EndpointDirectory
@@ -14,11 +14,20 @@
 
 
 class EjectionControl:
-    """The ejection of endpoints that have left or are draining, and their readmission when they return."""
+    """The ejection of endpoints that have left or are draining, and their readmission when they return.
+
+    Attributes:
+        waiting_for_messages: The ejections that the last update left pending because a proxy may not get
+            another message yet.
+        waiting_for_queue: The ejections that the last update left pending because the channel's queue has no
+            room for them.
+    """
 
     def __init__(self, directory: EndpointDirectory, tables: WeightTables):
         self._directory = directory
         self._tables = tables
+        self.waiting_for_messages = 0
+        self.waiting_for_queue = 0
 
     def pending_endpoints(self) -> list[Endpoint]:
         """Return the endpoints that are to be ejected or readmitted."""
@@ -35,6 +44,8 @@
         endpoint's old weight.
         """
         tables = self._tables
+        self.waiting_for_messages = 0
+        self.waiting_for_queue = 0
         deferred_endpoints = set().union(*(tables.lines.get(table, ()) for table in tables.deferred_tables))
         for endpoint in [
             pending
@@ -46,6 +57,15 @@
                 endpoint.is_ejected = not endpoint.is_ejected
                 writer.set_ejected(endpoint.index, endpoint.is_ejected)
                 tables.channel.charge(proxies, 1)
+            elif not endpoint.is_ejected:
+                self._count_waiting(proxies)
+        tables.channel.messages.withdrawals_wait = self.waiting_for_messages > 0
+
+    def _count_waiting(self, proxies: Collection[int]) -> None:
+        if self._tables.channel.has_messages(proxies, WITHDRAWAL):
+            self.waiting_for_queue += 1
+        else:
+            self.waiting_for_messages += 1
 
     def _affected_proxies(self, endpoint: int) -> list[int]:
         """Return the proxies whose table contains an endpoint.
--- a/ravenshelf/policy/endpoints.py
+++ b/ravenshelf/policy/endpoints.py
@@ -118,6 +118,10 @@
         has_gone = endpoint.state is GONE
         return has_gone and not endpoint.is_ejected and self._removal_is_not_binding
 
+    def is_to_be_ejected(self, endpoint: Endpoint) -> bool:
+        """Return whether tables must not contain an endpoint that is not ejected yet."""
+        return not endpoint.is_ejected and not self.is_usable(endpoint)
+
     def list_usable(self) -> list[Endpoint]:
         """Return the endpoints that tables may contain."""
         return [endpoint for endpoint in self.by_index.values() if self.is_usable(endpoint)]
--- a/ravenshelf/policy/flow_control.py
+++ b/ravenshelf/policy/flow_control.py
@@ -18,15 +18,14 @@
 from itertools import accumulate, count, takewhile
 from typing import TYPE_CHECKING
 
+from ravenshelf.policy.message_budget import MessageBudget
 from ravenshelf.settings import SECOND, ServiceSettings
 
 if TYPE_CHECKING:  # Imported for annotations only, so that a simulated server starts without loading it.
     from ravenshelf.policy.commands import CommandWriter
 
-# These limits apply where the settings state none. UNLIMITED_LINES is used for the queue limit in lines and
-# for the rate in lines per second; UNLIMITED_MESSAGES limits the messages per proxy and counting window.
+# Where the settings state no limit, this is the queue limit in lines and the rate in lines per second.
 UNLIMITED_LINES = 1e9
-UNLIMITED_MESSAGES = 1e9
 # Each message is charged with this many lines of overhead where the settings state none.
 DEFAULT_MESSAGE_OVERHEAD = 6.0
 # Each message contains one acknowledgement marker, which counts as a line.
@@ -37,8 +36,6 @@
 SLOWEST_FACTOR = 10
 # An unacknowledged batch counts as queued for at least this time.
 UNACKNOWLEDGED_TIMEOUT = 20 * SECOND
-# Messages are sent some time after they are counted, so they are counted over a window longer by this factor.
-COUNT_WINDOW_MARGIN = 1.05
 # The estimated rate never falls below this share of the nominal rate.
 MINIMUM_RATE_SHARE = 0.05
 # Each timely acknowledgement closes this share of the gap between the estimated and the nominal rate.
@@ -54,8 +51,6 @@
 # Lines that are not confirmed to have left the channel may still be queued, whatever the rate of the channel
 # is. They may take up this share of the queue limit.
 UNCONFIRMED_SHARES = (0.85, 0.85, 0.85, 0.9, 0.95)
-# This share of a proxy's messages per counting window may be used.
-MESSAGE_SHARES = (0.6, 0.7, 0.8, 0.8, 1.0)
 
 
 class DispatchedBatch:
@@ -140,19 +135,26 @@
         latest_idle: When everything has left the channel at its slowest rate.
         cycle_charges: The lines charged in the current cycle, by proxy.
         cycle_lines: The sum of `cycle_charges`.
-        sent_times: The times of recent messages, by proxy.
+        messages: The messages that proxies have got recently.
         slowest_line_time: The microseconds that one line takes at the slowest rate.
     """
 
-    def __init__(self, service: ServiceSettings):
+    def __init__(self, service: ServiceSettings, drain_grace: int | None = None):
+        """Create the flow control of an empty channel.
+
+        Args:
+            service: The limits of the channel.
+            drain_grace: The time within which a withdrawal has to take effect; None: not stated.
+        """
         self.nominal_rate = max(1.0, service.lines_per_second or UNLIMITED_LINES)
         self.rate = self.nominal_rate
         self.message_overhead = DEFAULT_MESSAGE_OVERHEAD
         if service.message_overhead_lines is not None:
             self.message_overhead = service.message_overhead_lines
         self.queue_limit = service.queue_limit_lines or UNLIMITED_LINES
-        self.messages_limit = service.messages_per_proxy_limit
-        self.count_window = service.message_count_window_us
+        self.messages = MessageBudget(
+            service.messages_per_proxy_limit, service.message_count_window_us, drain_grace
+        )
         self.longest_delivery = service.longest_delivery_us
         self.slowest_line_time = SLOWEST_FACTOR / self.nominal_rate * SECOND
 
@@ -166,7 +168,6 @@
         self.latest_idle = 0.0
         self.cycle_charges: dict[int | None, float] = {}
         self.cycle_lines = 0.0
-        self.sent_times: dict[int | None, deque[int]] = {}
         self._batches_by_number: dict[int, DispatchedBatch] = {}
         # Each pair of a batch number and a position confirms that the batches with a smaller number that end
         # at that position or before it have left the channel.
@@ -226,14 +227,27 @@
         ]
         self.queued_lines = min(self.queued_lines, self.unconfirmed_lines())
 
-    def has_capacity(self, lines: float, proxies: Collection[int], urgency: int) -> bool:
+    def has_capacity(
+        self, lines: float, proxies: Collection[int], urgency: int, message_urgency: int | None = None
+    ) -> bool:
         """Return whether the channel has capacity for a change.
 
         Args:
             lines: The lines of the change, for each proxy.
             proxies: The proxies that the change is sent to.
             urgency: The urgency of the change, an index into the limits of this module.
+            message_urgency: The urgency that applies to the count of messages; None: that of the change.
         """
+        return self._has_line_capacity(lines, proxies, urgency) and self.has_messages(
+            proxies, urgency if message_urgency is None else message_urgency
+        )
+
+    def has_messages(self, proxies: Iterable[int], urgency: int) -> bool:
+        """Return whether each of the proxies may get a message, or gets one in this cycle anyway."""
+        new_proxies = [proxy for proxy in proxies if proxy not in self.cycle_charges]
+        return self.messages.allows(new_proxies, self.now, urgency)
+
+    def _has_line_capacity(self, lines: float, proxies: Collection[int], urgency: int) -> bool:
         new_messages = sum(proxy not in self.cycle_charges for proxy in proxies)
         overhead = new_messages * (self.message_overhead + MARKER_LINES)
         required_lines = self.cycle_lines + len(proxies) * lines + overhead
@@ -241,18 +255,7 @@
             return False
         if self.queued_lines + required_lines > self.queue_limit * QUEUE_SHARES[urgency]:
             return False
-        if self.unconfirmed_lines() + required_lines > self.queue_limit * UNCONFIRMED_SHARES[urgency]:
-            return False
-        message_limit = round(self.messages_limit * MESSAGE_SHARES[urgency]) or UNLIMITED_MESSAGES
-        return all(
-            proxy in self.cycle_charges or self._recent_messages(proxy) < message_limit for proxy in proxies
-        )
-
-    def _recent_messages(self, proxy: int) -> int:
-        times = self.sent_times.setdefault(proxy, deque())
-        while times and times[0] <= self.now - COUNT_WINDOW_MARGIN * self.count_window:
-            times.popleft()
-        return len(times)
+        return self.unconfirmed_lines() + required_lines <= self.queue_limit * UNCONFIRMED_SHARES[urgency]
 
     def charge(self, proxies: Iterable[int], lines: float) -> None:
         """Count a number of lines for each proxy in this cycle.
@@ -284,7 +287,7 @@
         writer.request_acknowledgement((batch.number - 1) % MARKERS + 1)
         self._batches_by_number[batch.number] = batch
         for proxy in self.cycle_charges:
-            self.sent_times.setdefault(proxy, deque()).append(now)
+            self.messages.record_message(proxy, now)
         self.discard_charges()
         self._enqueue(batch)
 
@@ -355,7 +358,7 @@
 
         Its messages are counted from zero, and in a cycle they are sent after those of the other proxies.
         """
-        self.sent_times[proxy] = deque()
+        self.messages.reset(proxy)
         self._join_order[proxy] = next(self._join_counter)
 
     def record_disconnection(self, proxy: int, is_ended_by_server: bool = False) -> None:
@@ -367,7 +370,7 @@
         if is_ended_by_server:
             for batch in self.batches:
                 batch.lines[None] = batch.lines.get(None, 0) + batch.lines.pop(proxy, 0)
-        self.sent_times.pop(proxy, None)
+        self.messages.reset(proxy)
         for batch in self.batches:
             lines = batch.lines.pop(proxy, 0)
             if lines:
--- a/ravenshelf/policy/weight_tables.py
+++ b/ravenshelf/policy/weight_tables.py
@@ -55,6 +55,8 @@
             key None are the proxies that are not bound to a table yet.
         current_tables: The current table of each partition.
         deferred_tables: The tables whose changes did not fit into the channel, with their urgency.
+        tables_waiting_for_messages: The deferred tables that withdraw an endpoint and wait because their
+            proxies may not get another message yet.
         outdated_tables: The tables without users whose lines are older than the last plan. They have to be
             written before a proxy is bound to them.
     """
@@ -87,6 +89,7 @@
         self.proxies_by_table: defaultdict[int | None, dict[int, None]] = defaultdict(dict)
         self.current_tables: dict[PartitionKey, int] = {}
         self.deferred_tables: dict[int, int] = {}
+        self.tables_waiting_for_messages: set[int] = set()
         self.outdated_tables: set[int] = set()
         self._directory = directory
         self._slow_start = slow_start
@@ -110,8 +113,23 @@
         del table_proxies[index]
         if proxy.table in self.deferred_tables and not table_proxies:
             del self.deferred_tables[proxy.table]
+            self.tables_waiting_for_messages.discard(proxy.table)
             self.outdated_tables.add(proxy.table)
 
+    def take_deferred_tables(self) -> dict[int, int]:
+        """Return the deferred tables with their urgency, which from then on are not deferred any more."""
+        deferred_tables = self.deferred_tables
+        self.deferred_tables = {}
+        self.tables_waiting_for_messages = set()
+        return deferred_tables
+
+    def may_withdraw_by_table(self) -> bool:
+        """Return whether a table that waits for messages may be written now."""
+        return any(
+            self.channel.has_messages(self.proxies_by_table[table], WITHDRAWAL)
+            for table in self.tables_waiting_for_messages
+        )
+
     def record_planned_zones(self, planned_zones: Collection[int]) -> None:
         """Record that a plan covers only these zones, so that the tables of the others become outdated."""
         self.outdated_tables.update(
@@ -235,8 +253,13 @@
         written_lines = self.lines.setdefault(table, {})
         table_proxies = self.proxies_by_table[table]
         changes = _changed_lines(written_lines, planned_lines, MINIMUM_LINE_CHANGE if table_proxies else 0.0)
-        if table_proxies and not self.channel.has_capacity(len(changes), table_proxies, urgency):
+        message_urgency = self._message_urgency(changes, urgency)
+        if table_proxies and not self.channel.has_capacity(
+            len(changes), table_proxies, urgency, message_urgency
+        ):
             self.deferred_tables[table] = max(self.deferred_tables.get(table, ORDINARY), urgency)
+            if message_urgency == WITHDRAWAL and not self.channel.has_messages(table_proxies, WITHDRAWAL):
+                self.tables_waiting_for_messages.add(table)
             changes = self._changes_while_deferred(now, written_lines, planned_lines, changes)
             if not changes or not self.channel.has_capacity(len(changes), table_proxies, WITHDRAWAL):
                 return
@@ -248,6 +271,16 @@
         self.outdated_tables.discard(table)
         self.channel.charge(table_proxies if changes else (), len(changes))
 
+    def _message_urgency(self, changes: list[tuple[int, float]], urgency: int) -> int:
+        """Return the urgency that counts for the messages of a table's changes.
+
+        If the changes withdraw an endpoint, its proxies need a message for that in any case.
+        """
+        endpoints = (self._directory.by_index[endpoint] for endpoint, weight in changes if not weight)
+        if any(self._directory.is_to_be_ejected(endpoint) for endpoint in endpoints):
+            return WITHDRAWAL
+        return urgency
+
     def _changes_while_deferred(
         self, now: int, written_lines: Lines, planned_lines: Lines, changes: list[tuple[int, float]]
     ) -> list[tuple[int, float]]:
--- a/ravenshelf/process/control_cycle.py
+++ b/ravenshelf/process/control_cycle.py
@@ -116,6 +116,9 @@
         has_batch = channel.batch_number != batch_number
         self._settle_charges(channel, written_lines, channel.batches[-1].total_lines if has_batch else 0.0)
         self.counters["control_cycles"] += 1
+        # Each waiting withdrawal counts once in every control cycle.
+        self.counters["withdrawals_waiting_for_messages"] += self.controller.ejections.waiting_for_messages
+        self.counters["withdrawals_waiting_for_queue"] += self.controller.ejections.waiting_for_queue
         return [*changes.commands, *changes.timers]
 
     def _encode(self, proxy: int, updates: list[TableUpdate]) -> bytes:
--- a/ravenshelf/settings.py
+++ b/ravenshelf/settings.py
@@ -95,12 +95,15 @@
         overload_multiple: The load, relative to its present capacity, at which an endpoint that is warming up
             fails.
         removal_is_not_binding: Whether endpoints that are no longer listed may still be used for some time.
+        drain_grace_us: The microseconds within which proxies must stop sending to an endpoint that has left
+            or is draining; None: not stated.
     """
 
     cold_capacity_share: float = 0.2
     warm_after_us: int | None = None
     overload_multiple: float = 4.0
     removal_is_not_binding: bool = False
+    drain_grace_us: int | None = None
 
 
 class TelemetrySettings(NamedTuple):
@@ -290,6 +293,7 @@
         warm_after_us=section.microseconds("warm-after-ms", None),
         overload_multiple=multiple if multiple is not None else defaults.overload_multiple,
         removal_is_not_binding=section.flag("removal-not-binding"),
+        drain_grace_us=section.microseconds("drain-grace-ms", None),
     )
 
 
--- a/tests/policy/test_flow_control.py
+++ b/tests/policy/test_flow_control.py
@@ -42,9 +42,9 @@
     times = []
     for change in range(40):
         driver.now += SECOND // 4
-        before = list(driver.controller.channel.sent_times.get(0, ()))
+        before = driver.controller.channel.messages.message_times(0)
         driver.send(endpoint_list("drrr" if change % 2 else "rrrr", kind=ListKind.UPDATE))
-        times += [driver.now] * (list(driver.controller.channel.sent_times[0])[-1:] != before[-1:])
+        times += [driver.now] * (driver.controller.channel.messages.message_times(0)[-1:] != before[-1:])
     assert 3 <= len(times) <= 6
     driver.run(12)
     assert driver.writer.ejected == {0}
@@ -125,7 +125,7 @@
     driver.send(ProxyJoined(9, 0, 1.0, False), endpoint_list("drrr"))
     assert (
         driver.controller.channel.queued_lines > 0
-        and 9 in driver.controller.channel.sent_times
+        and 9 in driver.controller.channel.batches[-1].lines
         and driver.writer.bound[9] is not None
     )
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -54,6 +54,7 @@
                 "warm-after-ms": 16000.0,
                 "fall-multiple": 3.0,
                 "removal-not-binding": True,
+                "drain-grace-ms": 1500.0,
             },
             "telemetry": {"columns": ["active"], "how": "answers"},
             "limits": {"probing": True, "dial-timeout-ms": 250.0, "peer-messages": True},
@@ -80,7 +81,7 @@
             admission_level_kind="per_second",
             outlier_after_failures=5,
         ),
-        warm_up=WarmUpSettings(0.16, 16_000_000, 3.0, True),
+        warm_up=WarmUpSettings(0.16, 16_000_000, 3.0, True, 1_500_000),
         telemetry=TelemetrySettings("answers", ("active",)),
         limits=LimitSettings(True, 250_000, True),
     )
