A readmission goes only to proxies whose tables contain the endpoint, as it is charged

Cause: for a readmission EjectionControl.update checks and charges the proxies whose tables contain the endpoint, while ProxyTables.set_ejected wrote a `back` to every proxy that had ejected it, also to those whose tables had lost it since. The message was neither checked nor counted.

Change: a proxy gets the `back` if its tables contain the endpoint or are not known, otherwise with the next table that contains it, which the message builder did already. Messages that are written without a charge count for their proxy's limit in any case; the counter messages_beyond_charge shows them.

--- a/ravenshelf/process/control_cycle.py
+++ b/ravenshelf/process/control_cycle.py
@@ -6,7 +6,7 @@
 from ravenshelf.net import stream_codec
 from ravenshelf.policy import commands, events
 from ravenshelf.policy.controller import Controller
-from ravenshelf.policy.flow_control import ChannelFlowControl
+from ravenshelf.policy.flow_control import ChannelFlowControl, DispatchedBatch
 from ravenshelf.process.optional_features import AdmissionGate, CycleObserver
 from ravenshelf.settings import Settings
 from ravenshelf.state.counters import Counters
@@ -111,14 +111,10 @@
             self._replace_failed_controller()
             return None
         written_lines = self._write(messages, changes.marker, write)
-        # The charge is that of this cycle's batch. It can't be calculated from the queue's length before and
-        # after the cycle, because acknowledgements in the cycle have shortened the queue.
-        has_batch = channel.batch_number != batch_number
-        self._settle_charges(channel, written_lines, channel.batches[-1].total_lines if has_batch else 0.0)
+        batch = channel.batches[-1] if channel.batch_number != batch_number else None
+        self._settle_charges(channel, now, messages, written_lines, batch)
+        self._count_waiting_withdrawals()
         self.counters["control_cycles"] += 1
-        # Each waiting withdrawal counts once in every control cycle.
-        self.counters["withdrawals_waiting_for_messages"] += self.controller.ejections.waiting_for_messages
-        self.counters["withdrawals_waiting_for_queue"] += self.controller.ejections.waiting_for_queue
         return [*changes.commands, *changes.timers]
 
     def _encode(self, proxy: int, updates: list[TableUpdate]) -> bytes:
@@ -149,18 +145,44 @@
         return written_lines
 
     def _settle_charges(
-        self, channel: ChannelFlowControl, written_lines: float, charged_lines: float
+        self,
+        channel: ChannelFlowControl,
+        now: int,
+        messages: list[ProxyMessage],
+        written_lines: float,
+        batch: DispatchedBatch | None,
     ) -> None:
-        """Add lines that were written but not charged to the channel's queue.
+        """Count messages and lines that were written but not charged in flow control.
+
+        Without them the controller would estimate the queue as shorter than it is, and send a proxy more
+        messages than its limit permits.
 
-        Without them the controller would estimate the queue as shorter than it is.
+        Args:
+            channel: The flow control of the controller.
+            now: Time of the cycle in microseconds.
+            messages: The messages that were written.
+            written_lines: Their number of lines, including the message overhead.
+            batch: The charges of the cycle; None if there are none. They can't be calculated from the queue's
+                length before and after the cycle, because acknowledgements in the cycle have shortened it.
         """
+        charged_lines = batch.total_lines if batch is not None else 0.0
+        charged_proxies = batch.lines if batch is not None else {}
+        for message in messages:
+            if message.proxy not in charged_proxies:
+                self.counters["messages_beyond_charge"] += 1
+                channel.messages.record_message(message.proxy, now)
         self.counters.add("lines_charged", charged_lines)
         self.counters.add("lines_written", written_lines)
         if written_lines > charged_lines + LINES_TOLERANCE:
             self.counters.add("lines_beyond_charge", written_lines - charged_lines)
             channel.record_uncharged_lines(written_lines - charged_lines)
 
+    def _count_waiting_withdrawals(self) -> None:
+        """Count each waiting withdrawal once in every control cycle, by the limit that it waits for."""
+        ejections = self.controller.ejections
+        self.counters["withdrawals_waiting_for_messages"] += ejections.waiting_for_messages
+        self.counters["withdrawals_waiting_for_queue"] += ejections.waiting_for_queue
+
     def _reconcile(self, channel: ChannelFlowControl) -> None:
         """Readmit endpoints that proxies may have ejected on commands unknown to this server.
 
--- a/ravenshelf/state/proxy_tables.py
+++ b/ravenshelf/state/proxy_tables.py
@@ -139,19 +139,21 @@
 
     def set_ejected(self, endpoint: int, ejected: bool) -> None:
         """Eject an endpoint at all proxies, or readmit it; see `CommandWriter`."""
+        possible_holders = self._possible_holders(endpoint)
         if ejected:
             # A proxy that is bound to a table with the endpoint later in the cycle is sent the ejection with
             # that table.
             self.contents.ejected_endpoints.add(endpoint)
-            proxies_to_update = self._possible_holders(endpoint)
+            proxies_to_update = possible_holders
         else:
-            # Proxies that this server never told to eject the endpoint may still have ejected it. They are
-            # reconciled later, when the control channel has capacity for it.
+            # A proxy whose tables don't contain the endpoint is sent the readmission with the first table
+            # that does. The controller charges no message for such a proxy here.
             self.contents.ejected_endpoints.discard(endpoint)
             proxies_to_update = {
-                proxy for proxy, state in self.proxies.items() if state.has_ejected(endpoint)
+                proxy for proxy in possible_holders if self.proxies[proxy].has_ejected(endpoint)
             }
-            possible_holders = self._possible_holders(endpoint)
+            # Proxies that this server never told to eject the endpoint may still have ejected it. They are
+            # reconciled later, when the control channel has capacity for it.
             self.unreconciled_proxies |= {
                 proxy for proxy in possible_holders if self.proxies[proxy].has_unknown_history
             }
--- a/tests/process/test_control_cycle.py
+++ b/tests/process/test_control_cycle.py
@@ -208,3 +208,15 @@
     assert set(markers) == {2} and channel.unconfirmed_lines() > lines_before
     driver.run(BatchAcknowledged(0, 2, 1000), BatchAcknowledged(1, 2, 1000))
     assert not channel.unconfirmed_lines()
+
+
+def test_a_message_without_a_charge_counts_for_the_limit_of_its_proxy(drive_cycle):
+    """Guards against messages that flow control does not count, so that a proxy gets more than its limit."""
+    driver = drive_cycle()
+    driver.run(join(0))
+    budget = driver.control_cycle.controller.channel.messages
+    counted_messages = len(budget.message_times(0))
+    driver.proxy_tables.set_ejected(0, True)  # a command that the controller has not charged
+    driver.run()
+    assert "out=s-1" in driver.messages[0][1] and driver.counters["messages_beyond_charge"] == 1
+    assert len(budget.message_times(0)) == counted_messages + 1
