Controller and flow control: learning from reports and batches are modules of their own

Change: ReportLearner has the update of all estimates from a load report, DispatchedBatch its own module; the test of message charges uses the traffic groups of conftest.py. No behaviour changes.

--- a/ravenshelf/policy/controller.py
+++ b/ravenshelf/policy/controller.py
@@ -34,6 +34,7 @@
 from ravenshelf.policy.latency_bounds import MissBound, ZoneLatencyGaps
 from ravenshelf.policy.partitions import Partitions
 from ravenshelf.policy.proxies import Proxy
+from ravenshelf.policy.report_learning import LearnedEstimates, ReportLearner
 from ravenshelf.policy.service_time import ServiceTimeEstimator
 from ravenshelf.policy.slow_start import SlowStart
 from ravenshelf.policy.spill_planning import SpillPlanner
@@ -54,13 +55,8 @@
 DEFAULT_LATENCY_OBJECTIVE = 10 * SECOND
 # This objective applies if the settings list no traffic groups.
 NO_GROUPS_LATENCY_OBJECTIVE = SECOND
-# An attempt that succeeds at half of the latency objective counts as 0.5 ** 3 = 1/8 of a miss.
-LATENCY_MISS_EXPONENT = 3
-# In a miss curve, an attempt that succeeds at half of the miss bound counts as 0.5 ** 4 = 1/16 of a miss.
-CURVE_MISS_EXPONENT = 4
 # A host load sample of age 0 replaces this share of the older samples.
 NEW_SAMPLE_SHARE = 0.7
-ACTIVE_REQUESTS_COLUMN = "active"
 
 
 class Controller:
@@ -100,9 +96,6 @@
         self.next_step_at = 0
         self.list_urgency = ORDINARY
         self._logged_state: tuple[bool, list[int]] = (False, [])
-        self._active_column = [*settings.telemetry.columns, ACTIVE_REQUESTS_COLUMN].index(
-            ACTIVE_REQUESTS_COLUMN
-        )
         self._make_estimators(settings)
         self._make_tables(
             settings, channel or ChannelFlowControl(settings.service, settings.warm_up.drain_grace_us)
@@ -136,6 +129,13 @@
         self.demand_estimator = DemandEstimator(settings.service, self.zone_count)
         self.admission = AdmissionControl(settings, self.service_time)
         self.spill_planner = SpillPlanner(self.zone_count)
+        self.report_learner = ReportLearner(
+            settings.telemetry,
+            self.zone_count,
+            self.latency_objective,
+            self.endpoints,
+            LearnedEstimates(self.service_time, self.miss_bound, self.latency_gaps, self.spill_planner),
+        )
         self.endpoint_watch = EndpointWatch(settings.discovery == "on_request", self.random_source)
 
     def _make_tables(self, settings: Settings, channel: ChannelFlowControl) -> None:
@@ -252,56 +252,9 @@
         self.channel.record_disconnection(index, is_ended_by_server)
 
     def on_load_report(self, event: LoadReport) -> None:
-        """Update the estimates with what the proxies of one zone observed of an endpoint.
-
-        Reports of unknown endpoints and reports without attempts are ignored.
-        """
-        endpoint = self.endpoints.get(event.endpoint)
-        attempts = event.attempts
-        if endpoint is None or attempts <= 0:
-            return
-        now = self.now
-        latency = event.mean_latency
-        zone = min(event.zone, self.zone_count - 1)
-        failures = min(max(event.failures, 0), attempts)
-        successes = attempts - failures
-        endpoint.attempts.add(now, attempts, failures)
-        if len(event.load) > self._active_column:
-            endpoint.reported_load.add(now, 1.0, event.load[self._active_column] / endpoint.weight)
-        if successes and latency > 0:
-            self._learn_latency(endpoint, zone, successes, latency)
-        missed_attempts = (
-            failures + successes * min(1.0, latency / self.latency_objective) ** LATENCY_MISS_EXPONENT
-        )
-        endpoint.misses.add(now, attempts, missed_attempts)
-        self.service_time.add(now, successes, latency)
-        if zone == endpoint.zone and zone in self.spill_planner.loads:
-            self._learn_curve(endpoint, attempts, failures, latency)
-
-    def _learn_latency(self, endpoint: Endpoint, zone: int, successes: int, latency: int) -> None:
-        now = self.now
-        endpoint.latency.add(now, successes, successes * latency)
-        self.latency_gaps.add(now, zone, endpoint.zone, latency)
-        if self.miss_bound.add(now, latency):
-            self.next_solve_at = now + FIRST_SOLVE_DELAY
-
-    def _learn_curve(self, endpoint: Endpoint, attempts: int, failures: int, latency: int) -> None:
-        """Add a report to the miss curve of the endpoint's zone.
-
-        A mean latency near the miss bound means that some of the attempts have missed the bound, so a success
-        counts as a partial miss that grows with latency. The report is weighted with the endpoint's health
-        score, because the failures of an unhealthy endpoint say little about the load of its zone.
-        """
-        late_attempts = 0.0
-        if self.miss_bound.value:
-            late_attempts = (attempts - failures) * min(
-                1.0, latency / self.miss_bound.value
-            ) ** CURVE_MISS_EXPONENT
-        health = endpoint.health_score(self.now)
-        load = self.spill_planner.loads[endpoint.zone]
-        self.spill_planner.curves[endpoint.zone].add(
-            self.now, load, health * attempts, health * (failures + late_attempts)
-        )
+        """Update the estimates with what the proxies of one zone observed of an endpoint."""
+        if self.report_learner.learn(self.now, event):
+            self.next_solve_at = self.now + FIRST_SOLVE_DELAY
 
     def on_demand_report(self, event: DemandReport) -> None:
         """Add a demand report to its proxy's demand; reports of proxies that have not joined are ignored."""
--- a/ravenshelf/process/control_cycle.py
+++ b/ravenshelf/process/control_cycle.py
@@ -6,7 +6,8 @@
 from ravenshelf.net import stream_codec
 from ravenshelf.policy import commands, events
 from ravenshelf.policy.controller import Controller
-from ravenshelf.policy.flow_control import ChannelFlowControl, DispatchedBatch
+from ravenshelf.policy.dispatched_batch import DispatchedBatch
+from ravenshelf.policy.flow_control import ChannelFlowControl
 from ravenshelf.process.optional_features import AdmissionGate, CycleObserver
 from ravenshelf.settings import Settings
 from ravenshelf.state.counters import Counters
--- a/tests/process/test_message_charges.py
+++ b/tests/process/test_message_charges.py
@@ -7,7 +7,7 @@
 from random import Random
 
 import pytest
-from conftest import load_report
+from conftest import GROUPS, load_report
 from hypothesis import example, given, settings, strategies
 
 from ravenshelf.policy.events import (
@@ -21,14 +21,7 @@
     ProxyLeft,
 )
 from ravenshelf.process.control_cycle import ControlCycle
-from ravenshelf.settings import (
-    SECOND,
-    Idempotency,
-    ServiceSettings,
-    Settings,
-    TrafficGroup,
-    WarmUpSettings,
-)
+from ravenshelf.settings import SECOND, ServiceSettings, Settings, WarmUpSettings
 from ravenshelf.state.counters import Counters
 from ravenshelf.state.endpoint_registry import EndpointRegistry
 from ravenshelf.state.proxy_tables import ProxyTables
@@ -39,10 +32,6 @@
 ZONES = 3
 ENDPOINTS = 9
 PROXIES = 6
-GROUPS = (
-    TrafficGroup("look", 1.0, 1_200_000, 3_000_000, Idempotency.IDEMPOTENT),
-    TrafficGroup("pay", 5.0, 1_000_000, 4_000_000, Idempotency.NON_IDEMPOTENT),
-)
 
 
 class ChargedSchedule:
