Units of time stand once, in time_units.py, instead of in eighteen modules

Need: SECOND and the milliseconds were defined in eighteen modules of ravenshelf/, and other modules imported them from whichever was near. No behaviour changes.

--- a/benchmarks/neighbour.py
+++ b/benchmarks/neighbour.py
@@ -22,7 +22,8 @@
     LoadReport,
     ProxyJoined,
 )
-from ravenshelf.settings import SECOND, ServiceSettings, Settings, TrafficGroup
+from ravenshelf.settings import ServiceSettings, Settings, TrafficGroup
+from ravenshelf.time_units import SECOND
 
 ENDPOINTS = 12
 PROXIES = 24
--- a/benchmarks/scale/distribution.py
+++ b/benchmarks/scale/distribution.py
@@ -37,7 +37,8 @@
     decode,
     encode,
 )
-from ravenshelf.settings import SECOND, decode_settings
+from ravenshelf.settings import decode_settings
+from ravenshelf.time_units import SECOND
 
 START = 1000 * SECOND
 SERVICE_ENDPOINTS = 30  # 36,000 endpoints of 1,200 services
--- a/benchmarks/scale/servers.py
+++ b/benchmarks/scale/servers.py
@@ -19,10 +19,11 @@
 )
 from ravenshelf.policy.spill_solver import solve_spill
 from ravenshelf.process.control_cycle import ControlCycle
-from ravenshelf.settings import SECOND, Settings, decode_settings
+from ravenshelf.settings import Settings, decode_settings
 from ravenshelf.state.counters import Counters
 from ravenshelf.state.endpoint_registry import EndpointRegistry
 from ravenshelf.state.proxy_tables import ProxyTables
+from ravenshelf.time_units import SECOND
 
 START = 1000 * SECOND
 CYCLES_PER_SECOND = 4
--- a/ravenshelf/background/decisions.py
+++ b/ravenshelf/background/decisions.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-SECOND = 1_000_000  # One second, in microseconds.
+from ravenshelf.time_units import SECOND
+
 ESTIMATE_GAIN = 0.2  # Weight, from 0 to 1, of the latest slice in the estimated slice duration of a job.
 # A turn starts only when the budget has this share of the turn duration. Otherwise the same work would run in
 # many short turns, which cost more time than a few long ones.
--- a/ravenshelf/collectd/decisions/host_clock.py
+++ b/ravenshelf/collectd/decisions/host_clock.py
@@ -8,7 +8,8 @@
 All times are microseconds.
 """
 
-SECOND = 1_000_000
+from ravenshelf.time_units import SECOND
+
 # A clock counts as set back after JUMP_COUNT consecutive values whose difference exceeds the offset by more
 # than JUMP_THRESHOLD.
 JUMP_THRESHOLD = 30 * SECOND
--- a/ravenshelf/collectd/decisions/host_loads.py
+++ b/ravenshelf/collectd/decisions/host_loads.py
@@ -21,8 +21,9 @@
 
 from ravenshelf.collectd.decisions.host_clock import JUMP_THRESHOLD, HostClock
 from ravenshelf.collectd.decisions.series import MAX_GAP_INTERVALS, Series
-from ravenshelf.collectd.protocol import ABSOLUTE, GAUGE, SECOND, ValueList
+from ravenshelf.collectd.protocol import ABSOLUTE, GAUGE, ValueList
 from ravenshelf.collectd.types import DataSource, Types
+from ravenshelf.time_units import SECOND
 
 DEFAULT_INTERVAL = 10 * SECOND  # Interval that is assumed for a sender that states none.
 FRESH_INTERVALS = 2.5  # Number of intervals for which a reading counts as current.
--- a/ravenshelf/collectd/decisions/series.py
+++ b/ravenshelf/collectd/decisions/series.py
@@ -8,7 +8,8 @@
 
 from dataclasses import dataclass
 
-from ravenshelf.collectd.protocol import ABSOLUTE, DERIVE, GAUGE, SECOND
+from ravenshelf.collectd.protocol import ABSOLUTE, DERIVE, GAUGE
+from ravenshelf.time_units import SECOND
 
 MAX_GAP_INTERVALS = 3  # A rate is computed only if the two values are at most this many intervals apart.
 MAX_WRAP_SHARE_BITS = 2  # The difference over a wrap is under 1 / 2^2 of the range.
--- a/ravenshelf/collectd/protocol.py
+++ b/ravenshelf/collectd/protocol.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 from ravenshelf.errors import RavenshelfError
+from ravenshelf.time_units import SECOND
 
 # Types of parts
 HOST, TIME, PLUGIN, PLUGIN_INSTANCE, TYPE, TYPE_INSTANCE, VALUES, INTERVAL = range(8)
@@ -32,7 +33,6 @@
 NUMBER_BYTES = 8
 VALUE_BYTES = 9  # A value takes one byte for its kind and eight for its number.
 COUNT_BYTES = 2
-SECOND = 1_000_000  # One second, in microseconds.
 
 PART_HEADER = struct.Struct("!HH")
 _U64 = struct.Struct("!Q")
--- a/ravenshelf/distribution/decisions/backoff.py
+++ b/ravenshelf/distribution/decisions/backoff.py
@@ -2,7 +2,8 @@
 
 import random
 
-SECOND = 1_000_000  # microseconds
+from ravenshelf.time_units import SECOND
+
 # The ceiling of the first delay, in microseconds; it doubles with each failure.
 INITIAL_CEILING_US = SECOND // 2
 # With this ceiling a node whose dials keep failing dials about once a second. A relay has a bounded number of
--- a/ravenshelf/distribution/decisions/client.py
+++ b/ravenshelf/distribution/decisions/client.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ravenshelf.distribution.decisions.backoff import SECOND, Backoff
+from ravenshelf.distribution.decisions.backoff import Backoff
 from ravenshelf.distribution.decisions.digests import Digest
 from ravenshelf.distribution.decisions.topics import Topic, UpdateOutcome
 from ravenshelf.distribution.messages import (
@@ -21,6 +21,7 @@
     TopicLive,
     Unsubscribe,
 )
+from ravenshelf.time_units import SECOND
 
 SILENCE_TIMEOUT_US = 3 * SECOND  # A parent that sends nothing for this time is regarded as lost.
 DIAL_TIMEOUT_US = 3 * SECOND
--- a/ravenshelf/distribution/decisions/distributor.py
+++ b/ravenshelf/distribution/decisions/distributor.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
-from ravenshelf.distribution.decisions.backoff import SECOND, TokenBucket
+from ravenshelf.distribution.decisions.backoff import TokenBucket
 from ravenshelf.distribution.decisions.digests import Digest
 from ravenshelf.distribution.decisions.topics import Topic
 from ravenshelf.distribution.messages import (
@@ -25,6 +25,7 @@
     Version,
     encode,
 )
+from ravenshelf.time_units import SECOND
 
 HEARTBEAT_INTERVAL_US = SECOND
 # A snapshot that exceeds the budget is tried again after this time at the earliest.
--- a/ravenshelf/distribution/decisions/fallback.py
+++ b/ravenshelf/distribution/decisions/fallback.py
@@ -5,7 +5,7 @@
 
 from enum import Enum
 
-from ravenshelf.distribution.decisions.backoff import SECOND
+from ravenshelf.time_units import SECOND
 
 # After four solve intervals the load reports from which the last table was computed are outdated.
 LAST_TABLE_VALIDITY_US = 10 * SECOND
--- a/ravenshelf/distribution/decisions/relay.py
+++ b/ravenshelf/distribution/decisions/relay.py
@@ -10,7 +10,6 @@
 from dataclasses import dataclass, field
 
 from ravenshelf.distribution.decisions.aggregation import REPORT_WINDOW_US, Aggregator
-from ravenshelf.distribution.decisions.backoff import SECOND
 from ravenshelf.distribution.decisions.claims import claims_topic, read_claims, service_of_topic
 from ravenshelf.distribution.decisions.client import (
     Action,
@@ -24,6 +23,7 @@
 from ravenshelf.distribution.decisions.ownership import OwnershipView
 from ravenshelf.distribution.decisions.topics import Topic
 from ravenshelf.distribution.messages import Message, Resync, Subscribe, Unsubscribe, ZoneLoadReport
+from ravenshelf.time_units import SECOND
 
 TOPIC_LINGER_US = 10 * SECOND  # A topic is cached for this time after its last subscriber has left.
 # Owners behind an upstream are reported as unreachable once it has been disconnected for this time.
--- a/ravenshelf/distribution/decisions/service_decisions.py
+++ b/ravenshelf/distribution/decisions/service_decisions.py
@@ -10,7 +10,6 @@
 from dataclasses import dataclass, field
 
 from ravenshelf.distribution.decisions.aggregation import REPORT_WINDOW_US, Aggregator
-from ravenshelf.distribution.decisions.backoff import SECOND
 from ravenshelf.distribution.decisions.claims import service_of_topic
 from ravenshelf.distribution.decisions.planner import (
     LINE_PREFIX,
@@ -23,6 +22,7 @@
 from ravenshelf.distribution.decisions.service_owner import ServiceOwner
 from ravenshelf.distribution.messages import EndpointEntry, Entry, TableLine, ZoneLoadReport
 from ravenshelf.settings import Settings
+from ravenshelf.time_units import SECOND
 
 CYCLE_INTERVAL_US = SECOND // 4
 # The inherited tables stay in use for this time after the first load report; it is two solve intervals.
--- a/ravenshelf/distribution/timers.py
+++ b/ravenshelf/distribution/timers.py
@@ -6,8 +6,7 @@
 
 from ravenshelf.distribution.node import Clock
 from ravenshelf.state.deadlines import DeadlineQueue
-
-SECOND = 1_000_000  # microseconds
+from ravenshelf.time_units import SECOND
 
 Key = TypeVar("Key", bound=Hashable)
 
--- a/ravenshelf/graphite/collector.py
+++ b/ravenshelf/graphite/collector.py
@@ -10,7 +10,7 @@
 from ravenshelf.graphite import metrics
 from ravenshelf.graphite.drains import DrainTracker
 from ravenshelf.graphite.formats import path_component
-from ravenshelf.graphite.interval import SECOND, Histograms, Interval, new_histograms
+from ravenshelf.graphite.interval import Histograms, Interval, new_histograms
 from ravenshelf.graphite.metrics import DETAIL, ESSENTIAL, USEFUL
 from ravenshelf.graphite.points import PathNames, Point, PointBuilder, Sample
 from ravenshelf.policy.controller import Controller
@@ -27,6 +27,7 @@
 )
 from ravenshelf.settings import Settings
 from ravenshelf.state.table_update import TableUpdate
+from ravenshelf.time_units import SECOND
 
 DEFAULT_LATENCY_OBJECTIVE = 10 * SECOND  # Latency objective of traffic groups that have none configured.
 
--- a/ravenshelf/graphite/decisions/connection.py
+++ b/ravenshelf/graphite/decisions/connection.py
@@ -7,7 +7,8 @@
 import random
 from collections import deque
 
-SECOND = 1_000_000  # One second, in microseconds.
+from ravenshelf.time_units import SECOND
+
 CONNECT_TIMEOUT = 3 * SECOND
 # Age of the oldest unflushed batch at which a connection counts as stalled.
 STALLED_AFTER = 5 * SECOND
--- a/ravenshelf/graphite/decisions/queue.py
+++ b/ravenshelf/graphite/decisions/queue.py
@@ -11,8 +11,8 @@
 from itertools import islice
 
 from ravenshelf.graphite.metrics import IMPORTANCES
+from ravenshelf.time_units import SECOND
 
-SECOND = 1_000_000  # One second, in microseconds.
 # A batch counts as received this long after the kernel's socket buffer has accepted it.
 CONFIRMED_AFTER = 10 * SECOND
 # Tokens can accumulate up to the number of points that the backfill rate allows in this many seconds.
--- a/ravenshelf/graphite/dialing.py
+++ b/ravenshelf/graphite/dialing.py
@@ -6,9 +6,10 @@
 from typing import Any
 
 from ravenshelf.graphite.connection import ReceiverConnection
-from ravenshelf.graphite.decisions.connection import CONNECT_TIMEOUT, SECOND
+from ravenshelf.graphite.decisions.connection import CONNECT_TIMEOUT
 from ravenshelf.net.connection_end import ConnectionEnd
 from ravenshelf.net.datagrams import parse_address
+from ravenshelf.time_units import SECOND
 
 SocketAddress = tuple[Any, ...]
 Resolve = Callable[[str, int], Awaitable[Sequence[SocketAddress]]]
--- a/ravenshelf/graphite/exporter.py
+++ b/ravenshelf/graphite/exporter.py
@@ -8,12 +8,7 @@
 from ravenshelf.background.scheduler import BackgroundScheduler
 from ravenshelf.graphite import formats
 from ravenshelf.graphite.connection import ReceiverConnection
-from ravenshelf.graphite.decisions.connection import (
-    SECOND,
-    ConnectionAction,
-    ReceiverConnectionPolicy,
-    ReceiverState,
-)
+from ravenshelf.graphite.decisions.connection import ConnectionAction, ReceiverConnectionPolicy, ReceiverState
 from ravenshelf.graphite.decisions.queue import Batch, PointQueue
 from ravenshelf.graphite.dialing import Resolve, dial, resolve_name
 from ravenshelf.graphite.metrics import IMPORTANCES
@@ -21,6 +16,7 @@
 from ravenshelf.graphite.spool_transfer import SpoolTransfer
 from ravenshelf.net.connection_end import ConnectionEnd
 from ravenshelf.state.buffers import BufferPool
+from ravenshelf.time_units import SECOND
 
 # Shortest delay, in microseconds, before `run_due` checks a queue again whose next batch was not sent.
 MIN_SEND_DELAY = 1000
--- a/ravenshelf/graphite/interval.py
+++ b/ravenshelf/graphite/interval.py
@@ -12,8 +12,8 @@
 from ravenshelf.graphite import metrics
 from ravenshelf.graphite.metrics import Metric
 from ravenshelf.policy.events import LoadReport
+from ravenshelf.time_units import SECOND
 
-SECOND = 1_000_000  # One second, in microseconds.
 HISTOGRAM_MAX = 600 * SECOND
 HISTOGRAM_DIGITS = 2  # Two significant digits: the error is 1%, and a histogram uses a few KB of memory.
 DISTRIBUTIONS = (
--- a/ravenshelf/graphite/points.py
+++ b/ravenshelf/graphite/points.py
@@ -12,16 +12,16 @@
 
 from ravenshelf.graphite import metrics
 from ravenshelf.graphite.formats import path_component
-from ravenshelf.graphite.interval import SECOND, Interval, ObjectiveTotals
+from ravenshelf.graphite.interval import Interval, ObjectiveTotals
 from ravenshelf.graphite.metrics import Metric
 from ravenshelf.policy.controller import Controller
 from ravenshelf.policy.events import EndpointState
 from ravenshelf.settings import TrafficGroup
+from ravenshelf.time_units import MILLISECOND, SECOND
 
 ENDPOINTS_PER_SLICE = 64
 # Rates are counts divided by the length of the interval; a shorter interval counts as this long.
 SHORTEST_INTERVAL_S = 1e-3
-MILLISECOND = 1000  # One millisecond, in microseconds.
 
 Point = tuple[str, float]
 
--- a/ravenshelf/graphite/service.py
+++ b/ravenshelf/graphite/service.py
@@ -14,7 +14,7 @@
 from ravenshelf import log_events
 from ravenshelf.background.scheduler import BackgroundScheduler
 from ravenshelf.graphite import metrics
-from ravenshelf.graphite.decisions.connection import SECOND, ReceiverConnectionPolicy
+from ravenshelf.graphite.decisions.connection import ReceiverConnectionPolicy
 from ravenshelf.graphite.decisions.queue import Batch, PointQueue
 from ravenshelf.graphite.decisions.routing import RendezvousRouter, handover_targets
 from ravenshelf.graphite.dialing import Resolve, resolve_name
@@ -22,6 +22,7 @@
 from ravenshelf.graphite.formats import path_component
 from ravenshelf.graphite.points import Point, Sample
 from ravenshelf.graphite.spool import Spool
+from ravenshelf.time_units import SECOND
 
 ROUTE_ALL = "all"
 ROUTE_HASH = "hash"
--- a/ravenshelf/graphite/spool_transfer.py
+++ b/ravenshelf/graphite/spool_transfer.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 
 from ravenshelf import log_events
-from ravenshelf.graphite.decisions.queue import SECOND, Batch, PointQueue
+from ravenshelf.graphite.decisions.queue import Batch, PointQueue
 from ravenshelf.graphite.spool import Spool, SpooledSegment
+from ravenshelf.time_units import SECOND
 
 # The spool is not used for this long after one of its operations has failed.
 PAUSE_AFTER_ERROR = 60 * SECOND
--- a/ravenshelf/leadership/decisions/__init__.py
+++ b/ravenshelf/leadership/decisions/__init__.py
@@ -19,14 +19,13 @@
 """
 
 from ravenshelf.leadership.decisions.claims import Claim, LeaseState, Permission
-from ravenshelf.leadership.decisions.configuration import SECOND, TERM_STRIDE, LeaseConfiguration
+from ravenshelf.leadership.decisions.configuration import TERM_STRIDE, LeaseConfiguration
 from ravenshelf.leadership.decisions.member import Member
 from ravenshelf.leadership.decisions.messages import Message
 from ravenshelf.leadership.decisions.output import LeaseOutput, PackedRecord
 from ravenshelf.leadership.decisions.voter import Vote
 
 __all__ = [
-    "SECOND",
     "TERM_STRIDE",
     "Claim",
     "LeaseConfiguration",
--- a/ravenshelf/leadership/decisions/configuration.py
+++ b/ravenshelf/leadership/decisions/configuration.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 
-SECOND = 1_000_000  # microseconds
 # a term is a ballot round multiplied by this, plus the member's number, so that no two members use one term
 TERM_STRIDE = 4096
 
--- a/ravenshelf/leadership/decisions/token_bucket.py
+++ b/ravenshelf/leadership/decisions/token_bucket.py
@@ -1,6 +1,6 @@
 """Rate limit of handovers and takeovers."""
 
-from ravenshelf.leadership.decisions.configuration import SECOND
+from ravenshelf.time_units import SECOND
 
 
 class TokenBucket:
--- a/ravenshelf/leadership/inheritance.py
+++ b/ravenshelf/leadership/inheritance.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable, Mapping
 
 from ravenshelf.leadership.record import Record
+from ravenshelf.time_units import SECOND
 
-SECOND = 1_000_000
 ADMISSION_STEP = 1.25  # factor by which the admission level of a shed group rises at each step
 ADMISSION_STEP_INTERVAL_US = 2 * SECOND
 UNLIMITED_LEVEL = 1e5  # an admission level at which no request is shed
--- a/ravenshelf/leadership/peer_connections.py
+++ b/ravenshelf/leadership/peer_connections.py
@@ -8,13 +8,13 @@
 from ravenshelf import log_events
 from ravenshelf.leadership import link as links
 from ravenshelf.leadership.cluster import ClusterMembership, LeadershipSettings, clock
-from ravenshelf.leadership.decisions import SECOND
 from ravenshelf.leadership.link import Link
 from ravenshelf.leadership.message_codec import MalformedMessageError
 from ravenshelf.net.connection_end import ConnectionEnd
 from ravenshelf.net.datagrams import parse_address
 from ravenshelf.state.buffers import BufferPool
 from ravenshelf.state.counters import Counters
+from ravenshelf.time_units import SECOND
 
 DIAL_INTERVAL_S = 0.3
 DIAL_TIMEOUT_S = 1.0
--- a/ravenshelf/leadership/service.py
+++ b/ravenshelf/leadership/service.py
@@ -18,12 +18,13 @@
     clock,
     lease_configuration,
 )
-from ravenshelf.leadership.decisions import SECOND, LeaseState, Member, Message, PackedRecord
+from ravenshelf.leadership.decisions import LeaseState, Member, Message, PackedRecord
 from ravenshelf.leadership.decisions.messages import RecordWriteReply
 from ravenshelf.leadership.peer_connections import PeerConnections
 from ravenshelf.leadership.persistence import VOTING_KEY, DurableOutbox, OutgoingMessage, VoteStore
 from ravenshelf.leadership.status import member_status
 from ravenshelf.state.counters import Counters
+from ravenshelf.time_units import SECOND
 
 SHORTEST_WAIT_S = 0.001
 LONGEST_WAIT_S = 0.1
--- a/ravenshelf/policy/controller.py
+++ b/ravenshelf/policy/controller.py
@@ -41,7 +41,8 @@
 from ravenshelf.policy.staged_rollout import StagedRollout
 from ravenshelf.policy.urgency import JOINING, ORDINARY, URGENT, WITHDRAWAL
 from ravenshelf.policy.weight_tables import WeightTables
-from ravenshelf.settings import SECOND, Settings
+from ravenshelf.settings import Settings
+from ravenshelf.time_units import SECOND
 
 if TYPE_CHECKING:  # Imported for annotations only, so that a simulated server starts without loading it.
     from ravenshelf.policy.commands import CommandWriter
--- a/ravenshelf/policy/endpoint_watch.py
+++ b/ravenshelf/policy/endpoint_watch.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 if TYPE_CHECKING:  # Imported for annotations only, so that a simulated server starts without loading it.
     from ravenshelf.policy.commands import CommandWriter
--- a/ravenshelf/policy/endpoints.py
+++ b/ravenshelf/policy/endpoints.py
@@ -3,7 +3,7 @@
 from ravenshelf.policy.decayed_totals import DecayedTotals
 from ravenshelf.policy.events import EndpointsListed, EndpointState, ListedEndpoint, ListKind
 from ravenshelf.policy.urgency import ENDPOINT_LOSS, ORDINARY, URGENT
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 # These are module constants because the lookup of an enumeration's member is slow.
 READY = EndpointState.READY
--- a/ravenshelf/policy/flow_control.py
+++ b/ravenshelf/policy/flow_control.py
@@ -20,7 +20,8 @@
 
 from ravenshelf.policy.dispatched_batch import DispatchedBatch
 from ravenshelf.policy.message_budget import MessageBudget
-from ravenshelf.settings import SECOND, ServiceSettings
+from ravenshelf.settings import ServiceSettings
+from ravenshelf.time_units import SECOND
 
 if TYPE_CHECKING:  # Imported for annotations only, so that a simulated server starts without loading it.
     from ravenshelf.policy.commands import CommandWriter
--- a/ravenshelf/policy/latency_bounds.py
+++ b/ravenshelf/policy/latency_bounds.py
@@ -6,7 +6,7 @@
 from bisect import insort
 from collections.abc import Sequence
 
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 # The miss bound is learnt during this time after the first load report.
 LEARNING_TIME = 10 * SECOND
--- a/ravenshelf/policy/miss_curves.py
+++ b/ravenshelf/policy/miss_curves.py
@@ -13,7 +13,7 @@
 from math import exp, log
 
 from ravenshelf.policy.decayed_totals import DecayedTotals
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 # Observations are kept in buckets of this width on the logarithm of the load.
 BUCKET_WIDTH = 0.12
--- a/ravenshelf/policy/proxies.py
+++ b/ravenshelf/policy/proxies.py
@@ -2,7 +2,7 @@
 
 from ravenshelf.policy.decayed_totals import DecayedTotals
 from ravenshelf.policy.events import DemandReport
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 # Demand reports decay with this time constant. The mean age of a report is then the same as in a window of
 # 5 s without decay.
--- a/ravenshelf/policy/service_time.py
+++ b/ravenshelf/policy/service_time.py
@@ -1,7 +1,7 @@
 """Service time: the minimum time that an endpoint takes for a request."""
 
 from ravenshelf.policy.decayed_totals import DecayedTotals
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 # Successful attempts decay with this time constant.
 RECENT_TIME_CONSTANT = 2 * SECOND
--- a/ravenshelf/policy/slow_start.py
+++ b/ravenshelf/policy/slow_start.py
@@ -4,7 +4,8 @@
 
 from ravenshelf.policy.endpoints import Endpoint
 from ravenshelf.policy.service_time import ServiceTimeEstimator
-from ravenshelf.settings import SECOND, WarmUpSettings
+from ravenshelf.settings import WarmUpSettings
+from ravenshelf.time_units import SECOND
 
 # Slow start takes at most this time, and exactly this time if the settings do not state its duration.
 MAXIMUM_WARM_UP = 30 * SECOND
--- a/ravenshelf/process/controller.py
+++ b/ravenshelf/process/controller.py
@@ -22,8 +22,8 @@
 from ravenshelf.process.relay import distributor_limits
 from ravenshelf.settings import decode_settings
 from ravenshelf.state.counters import Counters
+from ravenshelf.time_units import SECOND
 
-SECOND = 1_000_000  # One second, in microseconds.
 # Time, in microseconds, between two checks of the leases and of the shards to follow.
 FOLLOW_INTERVAL = SECOND
 SEED_BITS = 32
--- a/ravenshelf/process/operations/collectd_signals.py
+++ b/ravenshelf/process/operations/collectd_signals.py
@@ -13,7 +13,8 @@
 from ravenshelf.background.scheduler import BackgroundScheduler
 from ravenshelf.net.datagrams import parse_address
 from ravenshelf.operator_config.tables import OperatorConfiguration
-from ravenshelf.process.operations.feature import SECOND, Measurements
+from ravenshelf.process.operations.feature import Measurements
+from ravenshelf.time_units import SECOND
 
 if TYPE_CHECKING:
     from ravenshelf.collectd.listener import CollectdListener
--- a/ravenshelf/process/operations/composer.py
+++ b/ravenshelf/process/operations/composer.py
@@ -11,9 +11,10 @@
 from ravenshelf.background.scheduler import BackgroundScheduler
 from ravenshelf.operator_config.tables import Background, OperatorConfiguration
 from ravenshelf.process.operations.collectd_signals import USERS_TIMER, CollectdSignals
-from ravenshelf.process.operations.feature import SECOND, Measurements, OperatorFeature, TimerKey
+from ravenshelf.process.operations.feature import Measurements, OperatorFeature, TimerKey
 from ravenshelf.process.operations.metrics_export import INTERVAL_TIMER, RECEIVER_TIMER, MetricsExport
 from ravenshelf.process.operations.process_metrics import process_measurements
+from ravenshelf.time_units import MILLISECOND, SECOND
 
 if TYPE_CHECKING:
     from ravenshelf.process.control_plane import ControlPlaneServer
@@ -21,7 +22,6 @@
     from ravenshelf.process.operations.subscription import Subscription
 
 BACKGROUND_TIMER = "background"
-MILLISECOND = 1000  # One millisecond, in microseconds.
 # Changes of these tables take effect only after a restart.
 RESTART_TABLES = ("distribution", "leadership", "store")
 
--- a/ravenshelf/process/operations/feature.py
+++ b/ravenshelf/process/operations/feature.py
@@ -8,7 +8,6 @@
     from ravenshelf.graphite.metrics import Metric
     from ravenshelf.operator_config.tables import OperatorConfiguration
 
-SECOND = 1_000_000  # One second, in microseconds.
 TimerKey = tuple[Any, ...]
 """Key of a server timer: the timer's name, followed by its owner if there are several of that name."""
 
--- a/ravenshelf/process/operations/leases.py
+++ b/ravenshelf/process/operations/leases.py
@@ -12,7 +12,8 @@
 from ravenshelf.leadership.service import Leadership
 from ravenshelf.operator_config.tables import OperatorConfiguration
 from ravenshelf.policy.events import EndpointsListed, ListKind
-from ravenshelf.process.operations.feature import SECOND, Measurements
+from ravenshelf.process.operations.feature import Measurements
+from ravenshelf.time_units import SECOND
 
 if TYPE_CHECKING:
     from ravenshelf.process.control_plane import ControlPlaneServer
--- a/ravenshelf/process/operations/metrics_export.py
+++ b/ravenshelf/process/operations/metrics_export.py
@@ -11,7 +11,8 @@
 from ravenshelf.background.scheduler import BackgroundScheduler
 from ravenshelf.operator_config.tables import OperatorConfiguration
 from ravenshelf.policy.events import EndpointsListed, ListKind
-from ravenshelf.process.operations.feature import SECOND, Measurements, TimerKey
+from ravenshelf.process.operations.feature import Measurements, TimerKey
+from ravenshelf.time_units import SECOND
 
 if TYPE_CHECKING:
     from ravenshelf.graphite.collector import MetricsCollector
--- a/ravenshelf/process/relay_metrics_export.py
+++ b/ravenshelf/process/relay_metrics_export.py
@@ -15,9 +15,8 @@
 from ravenshelf.operator_config.tables import OperatorConfiguration
 from ravenshelf.process.clock import Clock
 from ravenshelf.state.counters import Counters
+from ravenshelf.time_units import MICROSECONDS_PER_MILLISECOND, SECOND
 
-SECOND = 1_000_000  # One second, in microseconds.
-MICROSECONDS_PER_MILLISECOND = 1000
 SHORTEST_INTERVAL = 1e-3  # Rates are calculated over an interval of at least this many seconds.
 
 # Keys of the timers. The key of a receiver's timer is the receiver's address.
--- a/ravenshelf/settings.py
+++ b/ravenshelf/settings.py
@@ -9,9 +9,7 @@
 from typing import Any, NamedTuple
 
 from ravenshelf.errors import RavenshelfError
-
-MICROSECONDS_PER_MILLISECOND = 1000
-SECOND = 1_000_000  # microseconds
+from ravenshelf.time_units import MICROSECONDS_PER_MILLISECOND, SECOND
 
 
 class SettingsError(RavenshelfError):
--- a/ravenshelf/simulator/decode.py
+++ b/ravenshelf/simulator/decode.py
@@ -13,8 +13,8 @@
 
 from ravenshelf.errors import RavenshelfError
 from ravenshelf.policy import events
+from ravenshelf.time_units import MICROSECONDS_PER_MILLISECOND
 
-MICROSECONDS_PER_MILLISECOND = 1000
 NO_VALUE = "-"  # the word that stands for a missing value
 STATES = {state.value: state for state in events.EndpointState}
 LIST_KINDS = {kind.value: kind for kind in events.ListKind}
--- a/ravenshelf/simulator/encode.py
+++ b/ravenshelf/simulator/encode.py
@@ -3,9 +3,10 @@
 import base64
 from collections.abc import Sequence
 
+from ravenshelf.time_units import MICROSECONDS_PER_MILLISECOND
+
 ALL_PEERS = "*"
 NO_VALUE = "-"  # the word that stands for a missing value
-MICROSECONDS_PER_MILLISECOND = 1000
 
 
 class WireWriter:
--- a/tests/background/test_job_queue.py
+++ b/tests/background/test_job_queue.py
@@ -1,6 +1,7 @@
 """Order in which background jobs run, and which of them are dropped."""
 
-from ravenshelf.background.decisions import SECOND, Job, JobQueue, Priority
+from ravenshelf.background.decisions import Job, JobQueue, Priority
+from ravenshelf.time_units import SECOND
 
 
 def make_job(name, priority=Priority.PRESENT, deadline=SECOND, is_perishable=False):
--- a/tests/background/test_scheduler.py
+++ b/tests/background/test_scheduler.py
@@ -5,9 +5,10 @@
 
 import pytest
 
-from ravenshelf.background.decisions import SECOND, JobQueue, Priority
+from ravenshelf.background.decisions import JobQueue, Priority
 from ravenshelf.background.scheduler import BackgroundScheduler
 from ravenshelf.state.counters import Counters
+from ravenshelf.time_units import SECOND
 
 
 class SchedulerHarness:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,7 +23,6 @@
 )
 from ravenshelf.process.acceptor import ConnectionAcceptor
 from ravenshelf.settings import (
-    SECOND,
     Idempotency,
     ServiceSettings,
     Settings,
@@ -36,6 +35,7 @@
 from ravenshelf.state.counters import Counters
 from ravenshelf.state.deadlines import DeadlineQueue
 from ravenshelf.state.slots import SlotTable
+from ravenshelf.time_units import SECOND
 
 # Every run tries the same examples.
 hypothesis_settings.register_profile("ci", derandomize=True, database=None)
--- a/tests/distribution/test_distribution_decisions.py
+++ b/tests/distribution/test_distribution_decisions.py
@@ -8,7 +8,7 @@
 
 from ravenshelf.distribution.decisions.aggregation import Aggregator
 from ravenshelf.distribution.decisions.allowance import largest_share, received_shares
-from ravenshelf.distribution.decisions.backoff import SECOND, Backoff, TokenBucket
+from ravenshelf.distribution.decisions.backoff import Backoff, TokenBucket
 from ravenshelf.distribution.decisions.claims import claim_entry, read_claims, service_of_topic
 from ravenshelf.distribution.decisions.client import (
     ConnectionState,
@@ -54,6 +54,7 @@
 )
 from ravenshelf.policy.spill_solver import solve_spill
 from ravenshelf.settings import decode_settings
+from ravenshelf.time_units import SECOND
 
 NOW = 1000 * SECOND
 FIRST_VALUE, SECOND_VALUE = Setting("1"), Setting("2")
--- a/tests/graphite/exporting.py
+++ b/tests/graphite/exporting.py
@@ -5,12 +5,12 @@
 
 from ravenshelf.background.decisions import JobQueue
 from ravenshelf.background.scheduler import BackgroundScheduler
-from ravenshelf.graphite.decisions.connection import SECOND
 from ravenshelf.graphite.dialing import resolve_name
 from ravenshelf.graphite.service import GraphiteService, interval_boundary
 from ravenshelf.operator_config.tables import Graphite as Table
 from ravenshelf.state.counters import Counters
 from ravenshelf.state.deadlines import DeadlineQueue
+from ravenshelf.time_units import SECOND
 
 START_S = 1_700_000_000
 
--- a/tests/graphite/test_collector.py
+++ b/tests/graphite/test_collector.py
@@ -14,8 +14,9 @@
     ProxyJoined,
     ProxyLeft,
 )
-from ravenshelf.settings import SECOND, Settings, TrafficGroup
+from ravenshelf.settings import Settings, TrafficGroup
 from ravenshelf.state.table_update import TableUpdate
+from ravenshelf.time_units import SECOND
 
 SETTINGS = Settings(
     zones=("a", "b"),
--- a/tests/graphite/test_connection_policy.py
+++ b/tests/graphite/test_connection_policy.py
@@ -5,12 +5,8 @@
 
 import pytest
 
-from ravenshelf.graphite.decisions.connection import (
-    SECOND,
-    ConnectionAction,
-    ReceiverConnectionPolicy,
-    ReceiverState,
-)
+from ravenshelf.graphite.decisions.connection import ConnectionAction, ReceiverConnectionPolicy, ReceiverState
+from ravenshelf.time_units import SECOND
 
 HOUR = 3600 * SECOND
 
--- a/tests/graphite/test_exporting.py
+++ b/tests/graphite/test_exporting.py
@@ -8,8 +8,9 @@
 import pytest
 from exporting import START_S, ExportHarness, has_all_points, run
 
-from ravenshelf.graphite.decisions.connection import SECOND, ReceiverState
+from ravenshelf.graphite.decisions.connection import ReceiverState
 from ravenshelf.operator_config.tables import Graphite as Table
+from ravenshelf.time_units import SECOND
 from standins.carbon import (
     AcceptAll,
     CarbonReceiver,
--- a/tests/graphite/test_queue.py
+++ b/tests/graphite/test_queue.py
@@ -3,7 +3,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ravenshelf.graphite.decisions.queue import SECOND, Batch, PointQueue
+from ravenshelf.graphite.decisions.queue import Batch, PointQueue
+from ravenshelf.time_units import SECOND
 
 
 def make_points(count):
--- a/tests/graphite/test_spool.py
+++ b/tests/graphite/test_spool.py
@@ -5,8 +5,8 @@
 
 from exporting import ExportHarness, has_all_points, run
 
-from ravenshelf.graphite.decisions.connection import SECOND
 from ravenshelf.store.file_system import FileSystem
+from ravenshelf.time_units import SECOND
 from standins.carbon import CarbonReceiver
 
 
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -5,7 +5,7 @@
 
 from ravenshelf.policy.events import DemandReport
 from ravenshelf.policy.water_filling import water_filling_level
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 
 @pytest.mark.parametrize(
--- a/tests/policy/test_controller.py
+++ b/tests/policy/test_controller.py
@@ -16,7 +16,8 @@
     TimerExpired,
     WatchFailed,
 )
-from ravenshelf.settings import SECOND, TelemetrySettings
+from ravenshelf.settings import TelemetrySettings
+from ravenshelf.time_units import SECOND
 
 
 @pytest.mark.parametrize(
--- a/tests/policy/test_demand.py
+++ b/tests/policy/test_demand.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ravenshelf.policy.events import DemandReport
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 
 def test_zones_without_reports_count_with_nominal_rates_independently_of_local_demand(drive):
--- a/tests/policy/test_effective_weights.py
+++ b/tests/policy/test_effective_weights.py
@@ -11,7 +11,7 @@
     ListKind,
     ProxyJoined,
 )
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 
 def test_failures_reduce_a_weight_that_recovers_with_time(drive):
--- a/tests/policy/test_ejections.py
+++ b/tests/policy/test_ejections.py
@@ -4,7 +4,7 @@
 from conftest import endpoint_list, load_report
 
 from ravenshelf.policy.events import EndpointsListed, EndpointState, ListedEndpoint, ListKind
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 
 @pytest.mark.parametrize(
--- a/tests/policy/test_endpoint_watch.py
+++ b/tests/policy/test_endpoint_watch.py
@@ -3,7 +3,7 @@
 from conftest import endpoint_list
 
 from ravenshelf.policy.events import EndpointsListed, ListKind, WatchFailed
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 
 def test_a_poll_is_repeated_after_a_failure_and_ends_with_a_list(drive):
--- a/tests/policy/test_flow_control.py
+++ b/tests/policy/test_flow_control.py
@@ -4,7 +4,8 @@
 
 from ravenshelf.policy.events import ListKind, ProxyJoined, ProxyLeft
 from ravenshelf.policy.flow_control import ChannelFlowControl
-from ravenshelf.settings import SECOND, ServiceSettings
+from ravenshelf.settings import ServiceSettings
+from ravenshelf.time_units import SECOND
 
 
 def test_the_channel_keeps_its_limits_of_lines_and_messages():
--- a/tests/policy/test_flow_control_model.py
+++ b/tests/policy/test_flow_control_model.py
@@ -7,7 +7,8 @@
 import pytest
 
 from ravenshelf.policy.flow_control import SLOWEST_FACTOR, ChannelFlowControl
-from ravenshelf.settings import SECOND, ServiceSettings
+from ravenshelf.settings import ServiceSettings
+from ravenshelf.time_units import SECOND
 
 PROXIES, QUEUE_LIMIT, NOMINAL_RATE, MESSAGE_OVERHEAD, LONGEST_DELIVERY = 500, 26_300, 1500.0, 3, SECOND
 SETTINGS = ServiceSettings(
--- a/tests/policy/test_latency_bounds.py
+++ b/tests/policy/test_latency_bounds.py
@@ -4,7 +4,7 @@
 
 from ravenshelf.policy import decayed_totals, latency_bounds
 from ravenshelf.policy.events import LoadReport
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 
 def test_the_miss_bound_is_updated_without_sorting_all_latencies_for_each_report(drive, monkeypatch):
--- a/tests/policy/test_message_budget.py
+++ b/tests/policy/test_message_budget.py
@@ -17,7 +17,8 @@
 )
 from ravenshelf.policy.message_budget import MessageBudget
 from ravenshelf.policy.urgency import ENDPOINT_LOSS, ORDINARY, WITHDRAWAL
-from ravenshelf.settings import SECOND, ServiceSettings, Settings, WarmUpSettings
+from ravenshelf.settings import ServiceSettings, Settings, WarmUpSettings
+from ravenshelf.time_units import SECOND
 
 LIMIT = 12
 COUNT_WINDOW = 10 * SECOND
--- a/tests/policy/test_miss_curves.py
+++ b/tests/policy/test_miss_curves.py
@@ -6,7 +6,7 @@
 from conftest import load_report
 
 from ravenshelf.policy.miss_curves import MissCurve, read_curve
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 
 @pytest.mark.parametrize(
--- a/tests/policy/test_returning_zones.py
+++ b/tests/policy/test_returning_zones.py
@@ -4,7 +4,7 @@
 from conftest import busy_fleet, endpoint_list, load_report
 
 from ravenshelf.policy.events import DemandReport, ListKind, ProxyJoined, ProxyLeft
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 RETURNING_ZONE = 1
 RETURNING_PROXIES = (2, 3)
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -4,7 +4,7 @@
 from conftest import endpoint_list, load_report
 
 from ravenshelf.policy.events import EndpointsListed, EndpointState, ListedEndpoint, ListKind
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 
 def test_a_returning_endpoint_is_readmitted_with_its_cold_share(drive):
--- a/tests/policy/test_weight_tables.py
+++ b/tests/policy/test_weight_tables.py
@@ -14,7 +14,7 @@
     ProxyLeft,
 )
 from ravenshelf.policy.flow_control import ChannelFlowControl
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 
 @pytest.mark.parametrize("states", ["rrrr", "drrr", "dddr", "r---"])
--- a/tests/process/server_doubles.py
+++ b/tests/process/server_doubles.py
@@ -7,7 +7,7 @@
 
 from conftest import SETTINGS, target
 
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 
 class ManualLoop:
--- a/tests/process/test_control_cycle.py
+++ b/tests/process/test_control_cycle.py
@@ -14,10 +14,11 @@
     ProxyLeft,
 )
 from ravenshelf.process.control_cycle import ControlCycle
-from ravenshelf.settings import SECOND, decode_settings
+from ravenshelf.settings import decode_settings
 from ravenshelf.state.counters import Counters
 from ravenshelf.state.endpoint_registry import EndpointRegistry
 from ravenshelf.state.proxy_tables import ProxyTables
+from ravenshelf.time_units import SECOND
 
 
 class CycleDriver:
--- a/tests/process/test_control_plane.py
+++ b/tests/process/test_control_plane.py
@@ -20,7 +20,7 @@
 from ravenshelf.process.configuration import ConfigurationError
 from ravenshelf.process.control_plane import ControlPlaneServer
 from ravenshelf.process.deadline_keys import CallTimeout, ConnectionTimeout, ControllerTimer, ServerDeadline
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 
 @pytest.fixture
--- a/tests/process/test_message_charges.py
+++ b/tests/process/test_message_charges.py
@@ -21,10 +21,11 @@
     ProxyLeft,
 )
 from ravenshelf.process.control_cycle import ControlCycle
-from ravenshelf.settings import SECOND, ServiceSettings, Settings, WarmUpSettings
+from ravenshelf.settings import ServiceSettings, Settings, WarmUpSettings
 from ravenshelf.state.counters import Counters
 from ravenshelf.state.endpoint_registry import EndpointRegistry
 from ravenshelf.state.proxy_tables import ProxyTables
+from ravenshelf.time_units import SECOND
 
 LIMIT = 12
 COUNT_WINDOW = 10 * SECOND
--- a/tests/process/test_registry_client.py
+++ b/tests/process/test_registry_client.py
@@ -11,7 +11,7 @@
     WatchFailed,
 )
 from ravenshelf.process.registry_client import RETRY_DELAY_US
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 
 
 @pytest.fixture
--- a/tests/process/test_schedules.py
+++ b/tests/process/test_schedules.py
@@ -23,7 +23,7 @@
 from ravenshelf.process.cycle_scheduling import CycleScheduler
 from ravenshelf.process.deadline_keys import CallTimeout, ConnectionTimeout, ServerDeadline
 from ravenshelf.process.registry_client import IDLE_TIMEOUT_US, RegistryClient
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 from standins.loopback import update_table
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/standins/test_fleet_simulation.py
+++ b/tests/standins/test_fleet_simulation.py
@@ -5,7 +5,7 @@
 import ravenshelf.process.control_cycle as control_cycle
 from ravenshelf.policy.controller import Controller
 from ravenshelf.policy.events import EndpointsListed, WatchFailed
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 from standins.fleet import RateSimulation, SimulatedRegistry
 
 
--- a/tests/standins/test_slow_start_budget.py
+++ b/tests/standins/test_slow_start_budget.py
@@ -12,7 +12,7 @@
 
 import ravenshelf.process.control_cycle as control_cycle
 from ravenshelf.policy.controller import Controller
-from ravenshelf.settings import SECOND
+from ravenshelf.time_units import SECOND
 from standins.fleet import Parameters, RequestSimulation
 from standins.fleet.scenarios import KillTarget, OutlierKind, Release, run_release
 
