--- a/ravenshelf/policy/controller.py
+++ b/ravenshelf/policy/controller.py
@@ -209,10 +209,11 @@
 
     def _update_tables_between_plans(self, unbound_proxies: list[int], writer: CommandWriter) -> None:
         """Write the outdated tables of joining proxies, and deferred tables that withdraw an endpoint."""
-        zones = {self.proxies[index].zone for index in unbound_proxies}
-        if outdated_tables := self.tables.outdated_tables_of(zones):
+        if unbound_proxies and self.tables.outdated_tables:
+            zones = {self.proxies[index].zone for index in unbound_proxies}
             # No proxy uses these tables, so their changes take no capacity of the channel.
-            self.plan(writer, URGENT, outdated_tables)
+            if outdated_tables := self.tables.outdated_tables_of(zones):
+                self.plan(writer, URGENT, outdated_tables)
         # Otherwise the ejection alone would use the message that the table waits for.
         if self.tables.may_withdraw_by_table():
             self._retry_deferred_tables(writer)
