Counters tell which limit of the control channel refuses a change

Change: ChannelFlowControl counts each refusal by the first limit that a change exceeds: time until the queue is sent, estimated length, unconfirmed lines, messages to a proxy. The control cycle adds them to four counters. Decisions are the same.

--- a/ravenshelf/policy/flow_control.py
+++ b/ravenshelf/policy/flow_control.py
@@ -13,8 +13,9 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Collection, Iterable
+from enum import Enum
 from itertools import count, takewhile
 from typing import TYPE_CHECKING
 
@@ -55,6 +56,15 @@
 UNCONFIRMED_SHARES = (0.85, 0.85, 0.85, 0.9, 0.95)
 
 
+class CapacityLimit(Enum):
+    """A limit that may refuse a change; the value is the name of the counter of its refusals."""
+
+    QUEUE_TIME = "refused_by_queue_time"
+    ESTIMATED_QUEUE = "refused_by_estimated_queue"
+    UNCONFIRMED_LINES = "refused_by_unconfirmed_lines"
+    MESSAGES = "refused_by_messages"
+
+
 class ChannelFlowControl:
     """The capacity check of the control channel, with an estimate of its rate from acknowledgements.
 
@@ -75,6 +85,7 @@
         cycle_lines: The sum of `cycle_charges`.
         messages: The messages that proxies have got recently.
         slowest_line_time: The microseconds that one line takes at the slowest rate.
+        refusals: How often each limit has refused a change since `take_refusals`.
     """
 
     def __init__(self, service: ServiceSettings, drain_grace: int | None = None):
@@ -106,6 +117,7 @@
         self.latest_idle = 0.0
         self.cycle_charges: dict[int | None, float] = {}
         self.cycle_lines = 0.0
+        self.refusals: Counter[CapacityLimit] = Counter()
         self._batches_by_number: dict[int, DispatchedBatch] = {}
         # Each pair of a batch number and a position confirms that the batches with a smaller number that end
         # at that position or before it have left the channel.
@@ -176,24 +188,41 @@
             urgency: The urgency of the change, an index into the limits of this module.
             message_urgency: The urgency that applies to the count of messages; None: that of the change.
         """
-        return self._has_line_capacity(lines, proxies, urgency) and self.has_messages(
-            proxies, urgency if message_urgency is None else message_urgency
+        exceeded_limit = self._exceeded_limit(
+            lines, proxies, urgency, urgency if message_urgency is None else message_urgency
         )
+        if exceeded_limit is None:
+            return True
+        self.refusals[exceeded_limit] += 1
+        return False
 
     def has_messages(self, proxies: Iterable[int], urgency: int) -> bool:
         """Return whether each of the proxies may get a message, or gets one in this cycle anyway."""
         new_proxies = [proxy for proxy in proxies if proxy not in self.cycle_charges]
         return self.messages.allows(new_proxies, self.now, urgency)
 
-    def _has_line_capacity(self, lines: float, proxies: Collection[int], urgency: int) -> bool:
+    def _exceeded_limit(
+        self, lines: float, proxies: Collection[int], urgency: int, message_urgency: int
+    ) -> CapacityLimit | None:
+        """Return the first limit that a change would exceed, None if there is capacity for it."""
         new_messages = sum(proxy not in self.cycle_charges for proxy in proxies)
         overhead = new_messages * (self.message_overhead + MARKER_LINES)
         required_lines = self.cycle_lines + len(proxies) * lines + overhead
         if self.queued_lines + self.cycle_lines > self.nominal_rate * MAXIMUM_QUEUE_SECONDS[urgency]:
-            return False
+            return CapacityLimit.QUEUE_TIME
         if self.queued_lines + required_lines > self.queue_limit * QUEUE_SHARES[urgency]:
-            return False
-        return self.unconfirmed_lines() + required_lines <= self.queue_limit * UNCONFIRMED_SHARES[urgency]
+            return CapacityLimit.ESTIMATED_QUEUE
+        if self.unconfirmed_lines() + required_lines > self.queue_limit * UNCONFIRMED_SHARES[urgency]:
+            return CapacityLimit.UNCONFIRMED_LINES
+        if not self.has_messages(proxies, message_urgency):
+            return CapacityLimit.MESSAGES
+        return None
+
+    def take_refusals(self) -> Counter[CapacityLimit]:
+        """Return how often each limit has refused a change since the last call."""
+        refusals = self.refusals
+        self.refusals = Counter()
+        return refusals
 
     def charge(self, proxies: Iterable[int], lines: float) -> None:
         """Count a number of lines for each proxy in this cycle.
--- a/ravenshelf/process/control_cycle.py
+++ b/ravenshelf/process/control_cycle.py
@@ -114,7 +114,7 @@
         written_lines = self._write(messages, changes.marker, write)
         batch = channel.batches[-1] if channel.batch_number != batch_number else None
         self._settle_charges(channel, now, messages, written_lines, batch)
-        self._count_waiting_withdrawals()
+        self._count_refused_changes(channel)
         self.counters["control_cycles"] += 1
         return [*changes.commands, *changes.timers]
 
@@ -178,8 +178,10 @@
             self.counters.add("lines_beyond_charge", written_lines - charged_lines)
             channel.record_uncharged_lines(written_lines - charged_lines)
 
-    def _count_waiting_withdrawals(self) -> None:
-        """Count each waiting withdrawal once in every control cycle, by the limit that it waits for."""
+    def _count_refused_changes(self, channel: ChannelFlowControl) -> None:
+        """Count each refused change and each waiting withdrawal, by the limit that it waits for."""
+        for limit, refusals in channel.take_refusals().items():
+            self.counters[limit.value] += refusals
         ejections = self.controller.ejections
         self.counters["withdrawals_waiting_for_messages"] += ejections.waiting_for_messages
         self.counters["withdrawals_waiting_for_queue"] += ejections.waiting_for_queue
--- a/tests/process/test_control_cycle.py
+++ b/tests/process/test_control_cycle.py
@@ -221,3 +221,35 @@
     driver.run()
     assert "out=s-1" in driver.messages[0][1] and driver.counters["messages_beyond_charge"] == 1
     assert len(budget.message_times(0)) == counted_messages + 1
+
+
+@pytest.mark.parametrize(
+    ("queued_lines", "counters"),
+    [
+        (0, set()),
+        (5_000, {"refused_by_queue_time"}),
+        # The bind, and the less urgent reconciliation of ejections.
+        (1_600, {"refused_by_estimated_queue", "refused_by_queue_time"}),
+    ],
+)
+def test_refused_changes_are_counted_by_the_limit_that_refuses_them(drive_cycle, queued_lines, counters):
+    """Guards against counters that do not show why a change waits."""
+    driver = drive_cycle()
+    driver.control_cycle.controller.channel.record_uncharged_lines(queued_lines)
+    driver.run(join(0))
+    assert {name for name, count in driver.counters.items() if name.startswith("refused_by") and count} == (
+        counters
+    )
+
+
+def test_a_bind_that_waits_for_unconfirmed_lines_is_counted(drive_cycle):
+    """Guards against counters that do not show why a change waits."""
+    driver = drive_cycle()
+    channel = driver.control_cycle.controller.channel
+    channel.record_uncharged_lines(0.9 * channel.queue_limit)
+    driver.now += 100_000
+    channel.advance = lambda now: None  # The estimate is short, while no line is confirmed.
+    channel.queued_lines = 0.0
+    driver.run(join(0))
+    assert not driver.messages
+    assert driver.counters["refused_by_unconfirmed_lines"] and not driver.counters["refused_by_messages"]
