--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -43,6 +43,8 @@
 hypothesis_settings.load_profile("ci")
 
 KNOWN_RED_FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
+# So many seeded schedules of each kind are played unless `--schedules` says otherwise.
+SCHEDULES = 4
 # At most this many tests of the suite may be left out of a run.
 MAXIMUM_KNOWN_RED = 3
 SUITE_FOLDER = "tests/"
@@ -79,6 +81,17 @@
 
 def pytest_addoption(parser):
     parser.addoption("--known-red", action="store_true", help="run the tests of KNOWN-RED.txt too")
+    parser.addoption(
+        "--schedules",
+        type=int,
+        default=SCHEDULES,
+        help="the number of seeded schedules of each kind, for tests that play schedules",
+    )
+
+
+def pytest_generate_tests(metafunc):
+    if "schedule_seed" in metafunc.fixturenames:
+        metafunc.parametrize("schedule_seed", range(metafunc.config.getoption("--schedules")))
 
 
 def pytest_collection_modifyitems(config, items):
--- a/tests/process/test_control_cycle.py
+++ b/tests/process/test_control_cycle.py
@@ -98,6 +98,7 @@
     driver.run(EndpointsListed(ListKind.UPDATE, (ListedEndpoint(0, 0, 0, 0, EndpointState.READY, 4.0, 0),)))
     driver.control_cycle.controller.channel.queued_lines = 0.0
     driver.control_cycle.controller.channel.batches.clear()
+    driver.control_cycle.controller.channel.unconfirmed.unanswered_batches.clear()
     # This controller requests an acknowledgement without charging the channel for any line.
     driver.control_cycle.controller.run_cycle = lambda now, events, writer: writer.request_acknowledgement(
         5, True
