A controller that replaces a failed one keeps the count of messages on open streams

Seen: no caller reported it.

Cause: the new controller hears of the connected proxies as joins; Controller.on_proxy_joined first recorded a disconnection for each, and record_connection reset its messages. So the count began at zero on an open stream, and unacknowledged lines became lines that nobody acknowledges. Ends of streams in the failed cycle reached neither controller.

Change: an earlier connection is removed only if the controller knows one; the count ends with the connection; ends of streams in a failed cycle are passed to the channel.

--- a/ravenshelf/policy/controller.py
+++ b/ravenshelf/policy/controller.py
@@ -238,8 +238,13 @@
         self.endpoint_watch.record_poll_failure(self.now)
 
     def on_proxy_joined(self, event: ProxyJoined) -> None:
-        """Add a proxy without a table; the state of a previous connection of this proxy is discarded."""
-        self._remove_proxy(event.proxy, True)
+        """Add a proxy without a table; the state of a previous connection of this proxy is discarded.
+
+        A controller that replaces a failed one knows no proxies yet. Their connections are still open, so the
+        channel keeps what it knows of them.
+        """
+        if event.proxy in self.proxies:
+            self._remove_proxy(event.proxy, True)
         zone = min(event.zone, self.zone_count - 1)
         proxy = Proxy(zone, event.nominal_rate, len(self.settings.traffic_groups))
         self.tables.add_proxy(event.proxy, proxy)
--- a/ravenshelf/policy/flow_control.py
+++ b/ravenshelf/policy/flow_control.py
@@ -244,11 +244,7 @@
         self.unconfirmed.rate = self.rate
 
     def record_connection(self, proxy: int) -> None:
-        """Record that a proxy has opened a connection.
-
-        Its messages are counted from zero, and in a cycle they are sent after those of the other proxies.
-        """
-        self.messages.reset(proxy)
+        """Record that a proxy has joined: in a cycle, its messages are sent after those of the others."""
         self._join_order[proxy] = next(self._join_counter)
 
     def record_disconnection(self, proxy: int, is_ended_by_server: bool = False) -> None:
@@ -256,6 +252,7 @@
 
         The lines queued for a connection that broke are dropped. Those for a connection that this server
         ended (`is_ended_by_server`) still count as queued.
+        The messages of the proxy's next connection are counted from zero.
         """
         self.messages.reset(proxy)
         if is_ended_by_server:
--- a/ravenshelf/process/control_cycle.py
+++ b/ravenshelf/process/control_cycle.py
@@ -109,7 +109,7 @@
         except Exception:
             names = [type(event).__name__ for event in cycle_events[:LOGGED_EVENTS_LIMIT]]
             log_events.CONTROL_CYCLE_FAILED.with_traceback(events=str(names))
-            self._replace_failed_controller()
+            self._replace_failed_controller(cycle_events)
             return None
         written_lines = self._write(messages, changes.marker, write)
         batch = channel.batches[-1] if channel.batch_number != batch_number else None
@@ -199,7 +199,7 @@
                 self.proxy_tables.reconcile_ejections(proxy, endpoints)
                 channel.charge([proxy], len(endpoints))
 
-    def _replace_failed_controller(self) -> None:
+    def _replace_failed_controller(self, cycle_events: list[events.Event]) -> None:
         """Replace a failed controller by a new one.
 
         The failed controller may have recorded commands as sent that were never written, so it is unsafe to
@@ -208,10 +208,14 @@
         """
         self.failures += 1
         self.counters["controller_failures"] += 1
-        # The new controller keeps the channel: the lines in its queue are still to be acknowledged, and no
-        # marker may be used twice.
+        # The new controller keeps the channel: the lines in its queue are still to be acknowledged, no marker
+        # may be used twice, and messages on open connections still count for their limit.
         channel = self.controller.channel
         channel.discard_charges()
+        # The failed controller may not have recorded the ends of connections in its last cycle.
+        for event in cycle_events:
+            if isinstance(event, events.ProxyLeft):
+                channel.record_disconnection(event.proxy, event.is_ended_by_server)
         self.controller = self.make_controller(self.settings, self.controller_seed + self.failures, channel)
         self.proxy_tables.reset()
         self.begin()
--- a/tests/process/test_control_cycle.py
+++ b/tests/process/test_control_cycle.py
@@ -212,6 +212,59 @@
     assert not channel.unconfirmed_lines()
 
 
+def fail_controller(driver, *events):
+    """Let the controller fail in its next cycle, before it handles an event."""
+
+    def fail(*_):
+        raise RuntimeError("a failure of the controller")
+
+    driver.control_cycle.controller.run_cycle = fail
+    assert driver.run(*events) is None
+
+
+def test_messages_still_count_for_their_limit_after_a_controller_failed(drive_cycle):
+    """Guards against a proxy that gets twice its limit, because a new controller binds all proxies again."""
+    driver = drive_cycle(messages_per_proxy_limit=4, message_count_window_us=10 * SECOND)
+    driver.run(join(0))
+    messages = len(driver.messages)
+    for _ in range(6):
+        fail_controller(driver)
+        for _ in range(4):
+            driver.now += SECOND // 10
+            driver.run()
+            messages += len(driver.messages)
+    assert 2 <= messages <= 4
+    driver.now += 11 * SECOND
+    driver.run()
+    assert len(driver.messages) == 1
+
+
+def test_acknowledgements_after_a_controller_failed_confirm_earlier_lines(drive_cycle):
+    """Guards against lines that nobody can acknowledge any more, although the streams are intact."""
+    driver = drive_cycle()
+    driver.run(join(0), join(1))
+    channel = driver.control_cycle.controller.channel
+    first_batch = channel.batches[-1]
+    fail_controller(driver)
+    driver.run()
+    driver.run(BatchAcknowledged(0, first_batch.number, 1000))
+    assert set(first_batch.lines) == {1}
+    driver.run(BatchAcknowledged(1, first_batch.number, 1000))
+    assert not first_batch.lines
+
+
+def test_a_stream_that_breaks_in_the_cycle_in_which_the_controller_fails_loses_its_lines(drive_cycle):
+    """Guards against lines of a broken stream that stay queued, because the failed controller missed it."""
+    driver = drive_cycle()
+    driver.run(join(0), join(1))
+    channel = driver.control_cycle.controller.channel
+    batch = channel.batches[-1]
+    fail_controller(driver, ProxyLeft(0))
+    assert set(batch.lines) == {1}
+    assert channel.unconfirmed_lines() == batch.unacknowledged_lines < batch.total_lines
+    assert not channel.messages.message_times(0)
+
+
 def test_a_message_without_a_charge_counts_for_the_limit_of_its_proxy(drive_cycle):
     """Guards against messages that flow control does not count, so that a proxy gets more than its limit."""
     driver = drive_cycle()
