A proxy that acknowledges after others is not taken for silent

Cause, found by reading: an acknowledgement of a batch that others had confirmed already was ignored as a whole, so a proxy with slow deliveries stayed silent, and its lines in old batches were held for the estimated time instead of the slowest.

Change: any acknowledgement ends the silence of its proxy.

--- a/ravenshelf/policy/flow_control.py
+++ b/ravenshelf/policy/flow_control.py
@@ -221,9 +221,11 @@
 
         Args:
             proxy: The proxy.
-            marker: The marker of the batch; a marker that belongs to no unconfirmed batch is ignored.
+            marker: The marker of the batch. If it belongs to no unconfirmed batch, the acknowledgement only
+                shows that the proxy acknowledges batches.
             elapsed: The microseconds from the dispatch of the batch until the proxy had applied it.
         """
+        self.unconfirmed.silent_proxies.discard(proxy)
         batch = self.unconfirmed.get(self.batch_number - (self.batch_number - marker) % MARKERS)
         if batch is None:
             return
@@ -250,9 +252,9 @@
     def record_disconnection(self, proxy: int, is_ended_by_server: bool = False) -> None:
         """Record that a proxy's connection has ended.
 
-        The lines queued for a connection that broke are dropped. Those for a connection that this server
-        ended (`is_ended_by_server`) still count as queued.
-        The messages of the proxy's next connection are counted from zero.
+        The lines queued for a connection that broke are lost. Those for a connection that this server ended
+        (`is_ended_by_server`) still count as queued. The messages of the proxy's next connection are counted
+        from zero.
         """
         self.messages.reset(proxy)
         if is_ended_by_server:
--- a/ravenshelf/policy/unconfirmed_lines.py
+++ b/ravenshelf/policy/unconfirmed_lines.py
@@ -43,6 +43,7 @@
         break_count: The number of streams that have broken with lines in the channel.
         slowest_line_time: The microseconds that one line takes at the slowest rate.
         rate: The estimated rate of the channel in lines per second.
+        silent_proxies: The proxies that do not acknowledge batches that have left.
     """
 
     def __init__(self, nominal_rate: float, queue_limit: float, longest_delivery: int):
@@ -69,7 +70,7 @@
         self._held_lines = 0.0
         # When the batch before the oldest one had left.
         self._oldest_since = 0.0
-        self._silent_proxies = SilentProxies(longest_delivery)
+        self.silent_proxies = SilentProxies(longest_delivery)
         self._batches_by_number: dict[int, DispatchedBatch] = {}
         # Each pair of a batch number and a position confirms that the batches with a smaller number that end
         # at that position or before it have left the channel.
@@ -156,7 +157,7 @@
         Lines that a proxy may still acknowledge are taken to leave at the slowest rate. Of lost lines, and of
         lines that nobody acknowledges, no more will be known than the estimated rate.
         """
-        if not self._silent_proxies.includes_all(batch.lines, now):
+        if not self.silent_proxies.includes_all(batch.lines, now):
             return batch.slowest_end
         estimated_end = max(self._oldest_since, batch.dispatched_at) + batch.total_lines / self.rate * SECOND
         return min(estimated_end, batch.slowest_end)
@@ -188,7 +189,7 @@
             next_batch.slowest_end = min(next_batch.slowest_end, slowest_end)
 
     def _forget(self, batch: DispatchedBatch, now: int) -> None:
-        self._silent_proxies.record_missing(batch.lines, now)
+        self.silent_proxies.record_missing(batch.lines, now)
         self._unacknowledged_lines -= batch.unacknowledged_lines
         self.unanswered_batches.pop(batch.number, None)
         del self._batches_by_number[batch.number]
@@ -197,7 +198,6 @@
 
     def record_acknowledgement(self, batch: DispatchedBatch, proxy: int, now: int) -> None:
         """Record that a proxy has applied its lines of a batch."""
-        self._silent_proxies.discard(proxy)
         lines = batch.remove_proxy(proxy)
         self._unacknowledged_lines -= lines
         if batch.number not in self.unanswered_batches:
@@ -226,7 +226,7 @@
 
     def keep_unacknowledged(self, proxy: int) -> None:
         """Record that nobody acknowledges a proxy's lines any more, though they are still queued."""
-        self._silent_proxies.discard(proxy)
+        self.silent_proxies.discard(proxy)
         for batch in self._batches_by_number.values():
             lines = batch.lines.pop(proxy, 0.0)
             if lines:
@@ -234,7 +234,7 @@
 
     def lose_lines(self, proxy: int, now: int) -> None:
         """Record that a proxy's stream has broken, so that the lines queued for it are lost."""
-        self._silent_proxies.discard(proxy)
+        self.silent_proxies.discard(proxy)
         lost_lines = 0.0
         for batch in self._batches_by_number.values():
             lost_lines += self._lose_lines_of_batch(batch, proxy, now)
--- a/tests/policy/test_flow_control_model.py
+++ b/tests/policy/test_flow_control_model.py
@@ -172,7 +172,7 @@
 
     def __init__(self, service):
         super().__init__(service)
-        self.unconfirmed._silent_proxies.includes_all = lambda proxies, now: True
+        self.unconfirmed.silent_proxies.includes_all = lambda proxies, now: True
 
 
 @pytest.mark.parametrize(
@@ -323,3 +323,17 @@
     # The lines of the silent proxy count as long as those of any proxy without an acknowledgement.
     channel.advance(channel.now + 18 * SECOND)
     assert channel.unconfirmed_lines() == 24
+
+
+def test_a_proxy_that_acknowledges_late_is_not_silent():
+    """Guards against a slow proxy that counts as silent, since others confirm its batches before it does."""
+    channel = ChannelFlowControl(SETTINGS)
+    markers = []
+    for second in range(4):
+        channel.advance(second * SECOND)
+        markers.append(write_batch(channel, range(50)))
+        channel.record_acknowledgement(49, markers[-1], SECOND // 2)
+        if second:
+            channel.record_acknowledgement(0, markers[-2], SECOND)
+    assert not channel.unconfirmed.silent_proxies.includes_all([0], 5 * SECOND)
+    assert channel.unconfirmed.silent_proxies.includes_all([1], 5 * SECOND)
