Known red: breaks of most streams that are noticed late may overfill the channel

Cause, as far as traced: what is written between a break and its notice may leave before older lines, so its acknowledgements confirm lines that still wait.

Not mended: an acknowledgement would have to confirm less for 3 s always.

--- a/tests/policy/test_flow_control_model.py
+++ b/tests/policy/test_flow_control_model.py
@@ -64,7 +64,7 @@
         if number % 20 == 0 and number // 20 in self.break_seconds:
             for proxy in random_source.sample(range(PROXIES), self.broken_streams):
                 self.model.break_stream(proxy)
-                channel.record_disconnection(proxy)
+                self.notice_break(proxy, number)
                 self.acknowledgements = [
                     pending for pending in self.acknowledgements if pending[1].stream.proxy != proxy
                 ]
@@ -82,8 +82,39 @@
                 sent_lines[proxy] = sent_lines.get(proxy, 0) + lines
         channel.commit_cycle(now, self)
         for proxy, lines in sent_lines.items():
-            self.model.add_message(Stream(proxy, 0), lines + 1, self.markers[-1])
-            self.entered_lines += lines
+            self.enter(proxy, lines)
+
+    def notice_break(self, proxy: int, _number: int) -> None:
+        self.channel.record_disconnection(proxy)
+
+    def enter(self, proxy: int, lines: int) -> None:
+        self.model.add_message(Stream(proxy, 0), lines + 1, self.markers[-1])
+        self.entered_lines += lines
+
+
+class LateNoticeSchedule(Schedule):
+    """A schedule in which the server notices each break 0.15 to 3 s late.
+
+    Until then it writes to the broken stream; these messages do not enter the channel.
+    """
+
+    def __init__(self, seed: int, channel: ChannelFlowControl, uses_entry_duration: bool = False):
+        super().__init__(seed, channel, uses_entry_duration)
+        self.notice_delays = random.Random(seed + 77)
+        self.notice_ticks: dict[int, int] = {}
+
+    def notice_break(self, proxy: int, number: int) -> None:
+        self.notice_ticks[proxy] = number + self.notice_delays.randrange(3, 60)
+
+    def tick(self, number: int) -> None:
+        for proxy in [proxy for proxy, notice_tick in self.notice_ticks.items() if notice_tick <= number]:
+            del self.notice_ticks[proxy]
+            self.channel.record_disconnection(proxy)
+        super().tick(number)
+
+    def enter(self, proxy: int, lines: int) -> None:
+        if proxy not in self.notice_ticks:
+            super().enter(proxy, lines)
 
 
 @pytest.mark.parametrize(
@@ -121,6 +152,17 @@
         assert schedule.model.longest_queue <= QUEUE_LIMIT and schedule.entered_lines > 15_000, seed
 
 
+def test_the_queue_never_exceeds_its_limit_when_breaks_are_noticed_late():
+    """Guards against acknowledgements that confirm too much, since a break shortened the queue unnoticed."""
+    longest_queues = {}
+    for seed in (2, 3, 6, 7, 8, 10):
+        schedule = LateNoticeSchedule(seed, ChannelFlowControl(SETTINGS), uses_entry_duration=bool(seed % 2))
+        for number in range(1200):
+            schedule.tick(number)
+        longest_queues[seed] = schedule.model.longest_queue
+    assert max(longest_queues.values()) <= QUEUE_LIMIT, longest_queues
+
+
 class ReusesMarkersTooEarly(ChannelFlowControl):
     """A fault: markers are reused while their previous batches are still queued."""
 
