--- a/ravenshelf/policy/unconfirmed_lines.py
+++ b/ravenshelf/policy/unconfirmed_lines.py
@@ -9,7 +9,8 @@
 - An acknowledgement shows that its own lines have left. It confirms all older lines if no stream broke in
   between, and otherwise those that precede it by position as well. Positions count the lines written so far,
   less the lost ones.
-- The time of everything else is bounded by the slowest rate of the channel.
+- Everything else is bounded by time: at the slowest rate of the channel, or at the estimated rate if nobody
+  is left to acknowledge the lines, because their streams broke or their proxies are silent.
 
 Times and durations are integer microseconds.
 """
