--- a/review/second/proxies.py
+++ b/review/second/proxies.py
@@ -85,6 +85,7 @@
         joined_at: When the present stream was joined; None without a stream.
         lines: The table: weight by uid, by class.
         shut_out: The endpoints that it was told to shut out.
+        levels: The requests per second that it lets in, by class; others are refused.
     """
 
     def __init__(self, fleet: Fleet, number: int, zone: str, rate: float, standing: list[str], server: str):
@@ -98,6 +99,7 @@
             name: dict.fromkeys(standing, 1.0) for name in self.classes
         }
         self.shut_out: set[str] = set()
+        self.levels: dict[str, float] = {}
         self.is_fresh = True
         self.joined_at: float | None = None
         self.message_times: list[float] = []
@@ -188,6 +190,10 @@
         lines = [pair.partition(":")[::2] for pair in part.get("lines", "").split(",") if pair]
         for name in names:
             table = {} if "whole" in part else self.lines[name]
+            if "whole" in part:
+                self.levels.pop(name, None)
+            if "level" in part:
+                self.levels[name] = float(part["level"])
             for uid, weight in lines:
                 if not self.fleet.has_been_listed(uid):
                     raise ValueError(f"a line names {uid}, which discovery has never listed")
@@ -205,12 +211,17 @@
     async def send_requests(self) -> None:
         """Send requests at this proxy's rate until cancelled."""
         fleet = self.fleet
+        free_at: dict[str, float] = {}
         while True:
             await asyncio.sleep(fleet.random.expovariate(self.rate))
             name = fleet.random.choice(self.classes)
             self.counts[name] += 1
             lines = self.usable_lines(name)
             now = time.monotonic()
+            if name in self.levels:
+                if free_at.get(name, now) > now:
+                    continue
+                free_at[name] = max(free_at.get(name, now), now - 1) + 1 / max(self.levels[name], 1e-6)
             if not lines:
                 fleet.unserved.append((now, self.number, name))
                 fleet.record.write("refused", proxy=self.number, group=name)
