Review cases 6 to 8: each case names its record.txt, written line by line

The file was written, but its name stood in the shared stand-ins only. A run that is ended early now leaves the record of what happened before.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,6 +6,7 @@
 
 from review.second.world import ZONES, World, run
 
+RECORD = Path(__file__).parent / "record.txt"
 QUIET_S = 5.0
 DRAIN_S = 3.4  # the shortest drain time of the site's kind `shrink`
 LATE_S = 4.0
@@ -15,9 +16,7 @@
 
 def make_world() -> World:
     """Return a deployment at which only a listed drain binds."""
-    return World(
-        Path(__file__).parent, dict.fromkeys(ZONES, 6), 12, **{"removal-not-binding": True, "balancers": 1}
-    )
+    return World(RECORD, dict.fromkeys(ZONES, 6), 12, **{"removal-not-binding": True, "balancers": 1})
 
 
 async def play(world: World) -> list[str]:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -6,6 +6,7 @@
 
 from review.second.world import ZONES, World, run
 
+RECORD = Path(__file__).parent / "record.txt"
 QUIET_S = 5.0
 CUT_S = 6.0
 CHANGE_AFTER_S = 0.3
@@ -15,7 +16,7 @@
 
 def make_world() -> World:
     """Return a small deployment."""
-    return World(Path(__file__).parent, dict.fromkeys(ZONES, 6), 12)
+    return World(RECORD, dict.fromkeys(ZONES, 6), 12)
 
 
 async def play(world: World) -> list[str]:
--- a/review/second/record.py
+++ b/review/second/record.py
@@ -5,10 +5,13 @@
 
 
 class Record:
-    """The file `record.txt` of a case; times are seconds since its start."""
+    """The file `record.txt` of a case; times are seconds since its start.
+
+    Each line is written out at once, so that a run that is ended early leaves what happened before.
+    """
 
     def __init__(self, path: Path):
-        self._file = path.open("w", encoding="utf-8")
+        self._file = path.open("w", encoding="utf-8", buffering=1)
         self.started_at = time.monotonic()
 
     def write(self, kind: str, **fields: object) -> None:
@@ -17,5 +20,5 @@
         self._file.write(f"{time.monotonic() - self.started_at:8.3f} {kind} {words}\n")
 
     def close(self) -> None:
-        """Write out what is buffered."""
+        """Close the file."""
         self._file.close()
--- a/review/second/world.py
+++ b/review/second/world.py
@@ -205,9 +205,9 @@
         joined: The times of joining and leaving of each proxy, by number.
     """
 
-    def __init__(self, case: Path, endpoints: dict[str, int], proxies: int, **changes: Any):
+    def __init__(self, record: Path, endpoints: dict[str, int], proxies: int, **changes: Any):
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.record = Record(case / "record.txt")
+        self.record = Record(record)
         self.folder = Path(tempfile.mkdtemp())
         entries = [entry(f"s-{zone[:2]}{i}", zone) for zone, count in endpoints.items() for i in range(count)]
         self.registry = Registry(entries)
