A drain is carried out although the endpoint is removed before

Proxies sent 98 requests to it after the grace, the last 20.0 s after the drain was told.

Cause: EndpointDirectory kept an endpoint's last state only, and is_usable took each one that had gone for usable unless it was ejected. A trace of the controller shows that nothing was refused by the channel, and that decoder and registry pass on both entries; a drain that waits for messages or for the queue is forgotten in the same way once its removal comes.

Change: was_draining stays set until the endpoint is listed as ready again, so a drained endpoint that has gone is not usable and its ejection stays pending. A controller that replaces a failed one is told the drains of removed endpoints of the last 60 s. A removal without a drain binds as little as before.

--- a/ravenshelf/policy/endpoints.py
+++ b/ravenshelf/policy/endpoints.py
@@ -7,6 +7,7 @@
 
 # These are module constants because the lookup of an enumeration's member is slow.
 READY = EndpointState.READY
+DRAINING = EndpointState.DRAINING
 GONE = EndpointState.GONE
 
 # Attempts and failures, for the health score, decay with this time constant.
@@ -34,6 +35,8 @@
         weight: The listed weight.
         started_at: When the endpoint's process started, in microseconds; 0: so long ago that
             the endpoint is warm.
+        was_draining: Whether the endpoint was listed as draining after it was last listed as ready. It stays
+            set when the endpoint is removed from the list, because the drain still has to be carried out.
         is_ejected: Whether the endpoint is ejected from every table.
         slot: A number among the endpoints of a zone, which determines the endpoint's partition. The slot of
             an endpoint that has gone is free for a new endpoint.
@@ -56,6 +59,7 @@
         "slot",
         "started_at",
         "state",
+        "was_draining",
         "weight",
         "zone",
     )
@@ -67,6 +71,7 @@
         self.state: EndpointState | None = None
         self.weight = 1.0
         self.started_at = started_at
+        self.was_draining = False
         self.is_ejected = False
         self.slot: int | None = None
         self.host_load = DecayedTotals(HOST_LOAD_TIME_CONSTANT, 2)
@@ -101,8 +106,8 @@
 
         Args:
             zone_count: The number of zones; endpoints of higher zones are added to the last one.
-            removal_is_not_binding: Whether endpoints that are no longer listed may still be used for some
-                time.
+            removal_is_not_binding: Whether endpoints that are no longer listed may still be used, unless they
+                were listed as draining before.
         """
         self.by_index: dict[int, Endpoint] = {}
         self._zone_count = zone_count
@@ -111,12 +116,13 @@
     def is_usable(self, endpoint: Endpoint) -> bool:
         """Return whether tables may contain an endpoint.
 
-        If removal is not binding, an endpoint that has gone remains usable until it is ejected.
+        If removal is not binding, an endpoint that was removed from the list without a drain remains usable
+        until it is ejected.
         """
         if endpoint.state is READY:
             return True
-        has_gone = endpoint.state is GONE
-        return has_gone and not endpoint.is_ejected and self._removal_is_not_binding
+        is_removed_without_drain = endpoint.state is GONE and not endpoint.was_draining
+        return is_removed_without_drain and not endpoint.is_ejected and self._removal_is_not_binding
 
     def is_to_be_ejected(self, endpoint: Endpoint) -> bool:
         """Return whether tables must not contain an endpoint that is not ejected yet."""
@@ -158,6 +164,8 @@
         endpoint.zone = min(entry.zone, self._zone_count - 1)
         endpoint.machine_kind = entry.machine_kind
         endpoint.weight = max(entry.weight, MINIMUM_WEIGHT)
+        if entry.state is not GONE:
+            endpoint.was_draining = entry.state is DRAINING
         if endpoint.state != entry.state:
             endpoint.state = entry.state
             urgency = max(urgency, URGENT if entry.state is READY else ENDPOINT_LOSS)
--- a/ravenshelf/process/control_cycle.py
+++ b/ravenshelf/process/control_cycle.py
@@ -67,7 +67,7 @@
 
     def begin(self) -> None:
         """Queue the first events of a new controller: the last endpoint list, then the connected proxies."""
-        self.events = [events.EndpointsListed(events.ListKind.RESTORED, self.registry.snapshot())]
+        self.events = [self.registry.restored_list()]
         self.events += [event._replace(is_fresh=False) for event in self.join_events.values()]
 
     def deliver(self, event: events.Event) -> None:
--- a/ravenshelf/state/endpoint_registry.py
+++ b/ravenshelf/state/endpoint_registry.py
@@ -13,6 +13,9 @@
 INDEX_REUSE_DELAY_US = 600_000_000
 # At most this many names of endpoints whose index was reassigned are remembered.
 FORMER_NAMES_LIMIT = 65_536
+# The drain of a removed endpoint is passed to a new controller for this long, because the failed one may not
+# have carried it out yet.
+DRAIN_MEMORY_US = 60_000_000
 
 
 class VersionGapError(RavenshelfError):
@@ -55,6 +58,7 @@
         entries: Listed endpoints as last reported to the controller, by index.
         addresses: host:port of listed endpoints, by index.
         delisted_at: Times at which endpoints were delisted, by index, the earliest first.
+        removed_drains: Last entries of endpoints that were draining when they were delisted, by index.
         former_names: Names of endpoints whose index was reassigned, the oldest first.
     """
 
@@ -76,6 +80,7 @@
         self.entries: dict[int, ListedEndpoint] = {}
         self.addresses: dict[int, str] = {}
         self.delisted_at: dict[int, int] = {}
+        self.removed_drains: dict[int, ListedEndpoint] = {}
         self.former_names: dict[str, None] = {}
 
     def index_of(self, name: str) -> int:
@@ -102,6 +107,7 @@
         former_name = self.names[index]
         del self.index_by_name[former_name]
         del self.delisted_at[index]
+        self.removed_drains.pop(index, None)
         self.former_names[former_name] = None
         if len(self.former_names) > FORMER_NAMES_LIMIT:
             del self.former_names[next(iter(self.former_names))]
@@ -153,16 +159,25 @@
             raise VersionGapError(self.version, after_version)
         self.version = version
         self.updated_at = self.clock()
-        if not is_update:
-            self.entries = {}
+        former_entries = self.entries
+        self.entries = dict(former_entries) if is_update else {}
         for entry in entries:
-            self.entries[entry.endpoint] = entry
             if entry.state is EndpointState.GONE:
-                del self.entries[entry.endpoint]
+                self._record_removed_drain(self.entries.pop(entry.endpoint, None))
+            else:
+                self.entries[entry.endpoint] = entry
+                self.removed_drains.pop(entry.endpoint, None)
+        if not is_update:
+            for index in former_entries.keys() - self.entries.keys():
+                self._record_removed_drain(former_entries[index])
         self.addresses.update(addresses)
         self._update_delisting_times()
         return EndpointsListed(kind, tuple(entries))
 
+    def _record_removed_drain(self, entry: ListedEndpoint | None) -> None:
+        if entry is not None and entry.state is EndpointState.DRAINING:
+            self.removed_drains[entry.endpoint] = entry
+
     def _update_delisting_times(self) -> None:
         for index in range(len(self.names)):
             if index in self.entries:
@@ -174,3 +189,16 @@
     def snapshot(self) -> tuple[ListedEndpoint, ...]:
         """Return all listed endpoints."""
         return tuple(self.entries.values())
+
+    def restored_list(self) -> EndpointsListed:
+        """Return the event that tells a new controller the list.
+
+        Endpoints that were removed while they drained, in the last `DRAIN_MEMORY_US`, are in it with both of
+        these changes, so that the new controller withdraws them as well.
+        """
+        earliest_removal = self.clock() - DRAIN_MEMORY_US
+        changes: list[ListedEndpoint] = []
+        for index, entry in self.removed_drains.items():
+            if self.delisted_at[index] >= earliest_removal:
+                changes += (entry, entry._replace(state=EndpointState.GONE))
+        return EndpointsListed(ListKind.RESTORED, (*self.snapshot(), *changes))
--- a/tests/process/drain_schedule.py
+++ b/tests/process/drain_schedule.py
@@ -6,7 +6,7 @@
 """
 
 from collections import defaultdict, deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
 
@@ -51,6 +51,9 @@
         drain_grace: The time within which a proxy has to stop using an endpoint that drains.
         reconnect_time: The range of the seconds until a proxy joins again after its stream broke.
         drained_together: The number of endpoints that a deploy drains at a time.
+        removal_binds: Whether the removal of an endpoint binds if the list never said that it drains.
+        drain_time: The range of the seconds from the start of a drain to the removal.
+        list_delay: The range of the seconds until a change arrives; changes of one endpoint stay in order.
     """
 
     zones: int = 4
@@ -66,6 +69,9 @@
     request_rate: float = 12.0
     reconnect_time: tuple[float, float] = (0.24, 2.4)
     drained_together: int = 5
+    removal_binds: bool = True
+    drain_time: tuple[float, float] = (4.3, 5.5)
+    list_delay: tuple[float, float] = (0.2, 1.5)
 
     @property
     def drain_limit(self) -> int:
@@ -88,7 +94,9 @@
             traffic_groups=GROUPS,
             discovery="pushed",
             service=service,
-            warm_up=WarmUpSettings(0.16, 16 * SECOND, 4.0, False, drain_grace_us=self.drain_grace),
+            warm_up=WarmUpSettings(
+                0.16, 16 * SECOND, 4.0, not self.removal_binds, drain_grace_us=self.drain_grace
+            ),
         )
 
 
@@ -120,21 +128,27 @@
     def __init__(self, schedule, number):
         deployment = schedule.deployment
         self.schedule = schedule
+        self.number = number
         self.channel = ControlChannel(
             deployment.lines_per_second, deployment.message_overhead, schedule.uses_entry_duration
         )
         self.counters = Counters()
+        self.start_process(schedule.endpoints.values())
+        self.is_stopped = False
+        self.message_times = defaultdict(list)
+        # The messages of each stream that have not left the channel, in the order of writing.
+        self.queued_messages = defaultdict(deque)
+
+    def start_process(self, known_endpoints):
+        """Start with a list of endpoints and without proxies, as a process that is new or was restarted."""
+        schedule = self.schedule
         tables = ProxyTables(len(GROUPS), schedule.server_count == 1)
         self.registry = EndpointRegistry(lambda: schedule.events.now, tables.has_endpoint)
-        self.registry.update(ListKind.REPLACE, 1, self.entries(schedule.endpoints.values()), {})
+        self.registry.update(ListKind.REPLACE, 1, self.entries(known_endpoints), {})
         self.cycle = ControlCycle(
-            deployment.settings(), schedule.seed + number, self.registry, tables, self.counters
+            schedule.deployment.settings(), schedule.seed + self.number, self.registry, tables, self.counters
         )
         self.cycle.begin()
-        self.is_stopped = False
-        self.message_times = defaultdict(list)
-        # The messages of each stream that have not left the channel, in the order of writing.
-        self.queued_messages = defaultdict(deque)
 
     def entries(self, endpoints):
         return [
@@ -189,7 +203,8 @@
             f"s-{number}": RegisteredEndpoint(f"s-{number}", number % deployment.zones)
             for number in range(deployment.endpoints)
         }
-        self.changed_endpoints = {}
+        self.changed_endpoints = []
+        self.latest_change_at = {}
         self.longest_drain, self.longest_drain_text = 0, ""
         self.longest_bare, self.bare_since = 0, {}
         self.most_messages = 0
@@ -284,9 +299,8 @@
 
     def _drain(self, name):
         self._list_later(name, EndpointState.DRAINING)
-        self.events.call_later(
-            round(self.random_source.uniform(4.3, 5.5) * SECOND), partial(self._replace, name)
-        )
+        drain_time = round(self.random_source.uniform(*self.deployment.drain_time) * SECOND)
+        self.events.call_later(drain_time, partial(self._replace, name))
 
     def _replace(self, name):
         self._list_later(name, EndpointState.GONE)
@@ -299,15 +313,24 @@
     def _list_later(self, name, state):
         def change():
             self.endpoints[name].state = state
-            self.changed_endpoints[name] = self.endpoints[name]
+            self.changed_endpoints.append(replace(self.endpoints[name]))
+
+        delay = round(self.random_source.uniform(*self.deployment.list_delay) * SECOND)
+        change_at = max(self.events.now + delay, self.latest_change_at.get(name, 0) + 1)
+        self.latest_change_at[name] = change_at
+        self.events.call_later(change_at - self.events.now, change)
 
-        self.events.call_later(round(self.random_source.uniform(0.2, 1.5) * SECOND), change)
+    def _binds(self, state):
+        return state is EndpointState.DRAINING or (
+            state is EndpointState.GONE and self.deployment.removal_binds
+        )
 
     def _publish_changes(self):
-        changes = list(self.changed_endpoints.values())
-        self.changed_endpoints = {}
-        for endpoint in changes:
-            if endpoint.state is not EndpointState.READY and endpoint.leaving_since is None:
+        changes = self.changed_endpoints
+        self.changed_endpoints = []
+        for change in changes:
+            endpoint = self.endpoints[change.name]
+            if self._binds(change.state) and endpoint.leaving_since is None:
                 endpoint.leaving_since = self.events.now
         if changes:
             for server in self.servers:
--- a/tests/process/test_control_cycle.py
+++ b/tests/process/test_control_cycle.py
@@ -16,7 +16,7 @@
 from ravenshelf.process.control_cycle import ControlCycle
 from ravenshelf.settings import decode_settings
 from ravenshelf.state.counters import Counters
-from ravenshelf.state.endpoint_registry import EndpointRegistry
+from ravenshelf.state.endpoint_registry import DRAIN_MEMORY_US, EndpointRegistry
 from ravenshelf.state.proxy_tables import ProxyTables
 from ravenshelf.time_units import SECOND
 
@@ -307,3 +307,33 @@
     driver.run(join(0))
     assert not driver.messages
     assert driver.counters["refused_by_unconfirmed_lines"] and not driver.counters["refused_by_messages"]
+
+
+def test_a_drain_that_waits_is_known_to_the_controller_that_replaces_a_failed_one(drive_cycle):
+    """Guards against proxies that keep a drained endpoint, because the new controller never heard of it.
+
+    Proxies that have got most of their messages are bound again only because a withdrawal waits.
+    """
+    driver = drive_cycle(messages_per_proxy_limit=5, message_count_window_us=10 * SECOND)
+    driver.run(join(0))
+    while len(driver.control_cycle.controller.channel.messages.message_times(0)) < 4:
+        driver.control_cycle.controller.channel.messages.record_message(0, driver.now)
+    for version, state in enumerate((EndpointState.DRAINING, EndpointState.GONE), 2):
+        entry = ListedEndpoint(0, 0, 0, 0, state, 4.0, 0)
+        driver.control_cycle.deliver(driver.registry.update(ListKind.UPDATE, version, [entry], {}))
+    fail_controller(driver)
+    driver.run()
+    assert [(proxy, "whole=1 lines=s-2:" in message) for proxy, message in driver.messages] == [(0, True)]
+
+
+def test_a_drain_that_ended_long_ago_is_not_passed_to_a_new_controller(drive_cycle):
+    driver = drive_cycle()
+    for version, state in enumerate((EndpointState.DRAINING, EndpointState.GONE), 2):
+        driver.registry.update(ListKind.UPDATE, version, [ListedEndpoint(0, 0, 0, 0, state, 4.0, 0)], {})
+    assert [entry.state for entry in driver.registry.restored_list().entries] == [
+        EndpointState.READY,
+        EndpointState.DRAINING,
+        EndpointState.GONE,
+    ]
+    driver.now += DRAIN_MEMORY_US + 1
+    assert driver.registry.restored_list().entries == driver.registry.snapshot()
--- a/tests/process/test_drains_after_resets.py
+++ b/tests/process/test_drains_after_resets.py
@@ -1,5 +1,6 @@
 """Drains are kept and the queue stays short after streams break during a deploy, on seeded schedules."""
 
+from dataclasses import replace
 from functools import partial
 
 import pytest
@@ -22,6 +23,8 @@
     reconnect_time=(0.1, 2.5),
     drained_together=3,
 )
+# Lists are late, so that a drain and the removal after it often arrive together, and removal does not bind.
+LATE_LISTS = replace(FEW_MESSAGES, removal_binds=False, drain_time=(0.1, 1.0), list_delay=(0.2, 4.0))
 DEPLOY_START_S, DEPLOY_TIME_S, END_S = 4.0, 20.0, 32.0
 # The streams break as soon as so many of the permitted lines are queued, drawn by seed.
 QUEUE_SHARES = (0.0, 0.1, 0.2, 0.4, 0.5)
@@ -87,6 +90,17 @@
     schedule.call_at(schedule.elapsed_seconds() + schedule.random_source.uniform(0, 2.5), break_controller)
 
 
+def restart_the_server(schedule):
+    """Break all streams; the server starts again with the list that it held last."""
+    server = schedule.servers[0]
+    known_entries = server.registry.snapshot()
+    names = server.registry.names
+    schedule.reset_streams()
+    server.start_process(
+        [replace(schedule.endpoints[names[entry.endpoint]], state=entry.state) for entry in known_entries]
+    )
+
+
 DISRUPTIONS = {
     function.__name__: function
     for function in (
@@ -99,6 +113,7 @@
         move_to_the_other_server,
         reload_the_list,
         replace_the_controller,
+        restart_the_server,
     )
 }
 
@@ -125,7 +140,13 @@
 
 
 @pytest.mark.parametrize("disruption", DISRUPTIONS.values(), ids=DISRUPTIONS.keys())
-@pytest.mark.parametrize("deployment", [LARGE, FEW_MESSAGES], ids=["large", "few messages"])
+@pytest.mark.parametrize(
+    "deployment", [LARGE, FEW_MESSAGES, LATE_LISTS], ids=["large", "few messages", "late lists"]
+)
 def test_drains_are_kept_after_streams_break_during_a_deploy(disruption, deployment, schedule_seed):
-    """Guards against lines of broken streams that count as queued for 20 s and block binds and ejections."""
+    """Guards against drains that wait or are forgotten after a reset, a restart, a move or a reload.
+
+    Lines of broken streams must not count as queued for 20 s and block binds and ejections, and a drain must
+    not be forgotten when its removal follows.
+    """
     assert play(disruption, schedule_seed, deployment).violations() == []
