A line that lists a drain and the removal after it withdraws the endpoint

Cause: EndpointListDecoder.decode_entries kept the last entry of each endpoint, so the controller was told of a bare removal.

Change: a drain that a removal follows is kept before it. A drain that was taken back is not.

Measured: two cases of the new test failed before; the other three (bare removal, a return, a drain that was taken back) pass on both.

--- a/ravenshelf/net/endpoint_codec.py
+++ b/ravenshelf/net/endpoint_codec.py
@@ -80,11 +80,15 @@
         Args:
             targets: The `targets` of the list.
 
+        The last entry of an endpoint counts. If it is a removal that follows a drain, both are returned,
+        because an endpoint that was removed after a drain has to be withdrawn.
+
         Returns:
             The valid entries, the addresses (host:port) by index, and the malformed entries, each with the
             endpoint's index, or None if it has none, and the reason.
         """
         entries: dict[int, ListedEndpoint] = {}
+        drains_before_removal: dict[int, ListedEndpoint] = {}
         addresses: dict[int, str] = {}
         malformed_entries: list[tuple[int | None, str]] = []
         for target in targets:
@@ -101,10 +105,10 @@
                 malformed_entries.append((self.find_index(name), reason))
                 continue
             index = self.index_of(name)
-            entries[index] = ListedEndpoint(index, *fields)
+            _add_entry(ListedEndpoint(index, *fields), entries, drains_before_removal)
             if isinstance(target.get("endpoint"), str):
                 addresses[index] = target["endpoint"]
-        return list(entries.values()), addresses, malformed_entries
+        return [*drains_before_removal.values(), *entries.values()], addresses, malformed_entries
 
     def _decode_fields(self, target: dict[str, Any]) -> tuple[int, int, int, EndpointState, float, int]:
         """Return the fields of a `ListedEndpoint` that follow its index."""
@@ -123,3 +127,17 @@
             weight,
             round(start_ms * 1000),
         )
+
+
+def _add_entry(
+    entry: ListedEndpoint,
+    entries: dict[int, ListedEndpoint],
+    drains_before_removal: dict[int, ListedEndpoint],
+) -> None:
+    """Add an entry in place of an earlier one of its endpoint; keep a drain that a removal follows."""
+    former_entry = entries.get(entry.endpoint)
+    if entry.state is not EndpointState.GONE:
+        drains_before_removal.pop(entry.endpoint, None)
+    elif former_entry is not None and former_entry.state is EndpointState.DRAINING:
+        drains_before_removal[entry.endpoint] = former_entry
+    entries[entry.endpoint] = entry
--- a/tests/net/test_endpoint_codec.py
+++ b/tests/net/test_endpoint_codec.py
@@ -55,3 +55,22 @@
         ListedEndpoint(1, 0, 0, 0, EndpointState.READY, 4.0, 0),
     ]
     assert addresses == {0: "10.0.0.1:8080"} and [index for index, _ in malformed_entries] == [9] + 6 * [None]
+
+
+@pytest.mark.parametrize(
+    "states, decoded_states",
+    [
+        (("DRAINING", "DELETED"), ("DRAINING", "DELETED")),
+        (("DRAINING", "DELETED", "DELETED"), ("DRAINING", "DELETED")),
+        (("SERVING", "DELETED"), ("DELETED",)),
+        (("DRAINING", "DELETED", "SERVING"), ("SERVING",)),
+        (("DRAINING", "SERVING", "DELETED"), ("DELETED",)),
+    ],
+)
+def test_a_drain_that_its_removal_follows_in_one_list_is_kept(states, decoded_states):
+    """Guards against an endpoint that counts as removed without a drain, because one line brought both."""
+    decoder = endpoint_codec.EndpointListDecoder(Settings(zones=("a",)), lambda name: 0, {}.get)
+    entries, _, _ = decoder.decode_entries([target("s-1", state=state) for state in states])
+    assert tuple(entry.state for entry in entries) == tuple(
+        endpoint_codec.STATES[state] for state in decoded_states
+    )
