A registry that is cut off is connected to again beside silent connections

Cause: the server had one connection to the registry at a time, and waited 5 s for a connection that was made in the cut and stays silent for good, after 5 s for the silent watch, each with a backoff of up to 1 s.

A registry that refuses, errs or closes is left to the backoff. Where removal does not bind, a replaced watch is read for drains for 6 s more.

The tests that used the client's fields read them from its WatchSet; the check of calls without an owner compares with all watches of the set and asks as much.

--- a/ravenshelf/process/control_plane.py
+++ b/ravenshelf/process/control_plane.py
@@ -136,7 +136,9 @@
             self.outgoing_calls,
             self.publish,
             self._schedule_watch,
+            self._schedule_redial,
             settings.discovery == "pushed",
+            settings.warm_up.removal_is_not_binding,
             self.control_cycle.controller.random_source,
         )
         self.health_checks = HealthChecks(
@@ -202,6 +204,8 @@
                 call.close(ConnectionEnd.SILENT)
             case ServerDeadline.WATCH:
                 self.registry_client.open_watch_if_due()
+            case ServerDeadline.REDIAL:
+                self.registry_client.redial()
             case ServerDeadline.RELOAD:
                 self.reloader.retry()
             case ServerDeadline.COUNTERS:
@@ -215,6 +219,12 @@
         if ServerDeadline.WATCH not in self.timers.deadlines:
             self.timers.set(ServerDeadline.WATCH, self.clock() + wait_us)
 
+    def _schedule_redial(self, wait_us: int | None) -> None:
+        if wait_us is None:
+            self.timers.cancel(ServerDeadline.REDIAL)
+        else:
+            self.timers.set(ServerDeadline.REDIAL, self.clock() + wait_us)
+
     # Start, reload and stop
 
     async def start(self) -> None:
--- a/ravenshelf/process/deadline_keys.py
+++ b/ravenshelf/process/deadline_keys.py
@@ -15,6 +15,7 @@
 
     CONTROL_CYCLE = "control cycle"  # The server runs the next control cycle.
     WATCH = "watch"  # The server opens a watch of the endpoint registry if one is required.
+    REDIAL = "redial"  # The server opens a watch beside one that is silent or has not answered.
     RELOAD = "reload"  # The server reads the configuration file again, because it was not valid.
     COUNTERS = "counters"  # The server logs the counters.
 
--- a/ravenshelf/state/endpoint_registry.py
+++ b/ravenshelf/state/endpoint_registry.py
@@ -178,6 +178,19 @@
         if entry is not None and entry.state is EndpointState.DRAINING:
             self.removed_drains[entry.endpoint] = entry
 
+    def record_late_drain(self, entry: ListedEndpoint) -> tuple[ListedEndpoint, ...]:
+        """Record that an endpoint drained before it was removed, which is learnt after the removal.
+
+        Returns:
+            The entries of the drain and of the removal; none if the entry is no drain, or if the endpoint is
+            listed or was never listed.
+        """
+        is_drain = entry.state is EndpointState.DRAINING
+        if not is_drain or entry.endpoint not in self.delisted_at:
+            return ()
+        self._record_removed_drain(entry)
+        return entry, entry._replace(state=EndpointState.GONE)
+
     def _update_delisting_times(self) -> None:
         for index in range(len(self.names)):
             if index in self.entries:
--- a/tests/process/registry_doubles.py
+++ b/tests/process/registry_doubles.py
@@ -46,8 +46,8 @@
     `events` holds the published events; of an endpoint list, only its kind and the endpoints' states.
     """
 
-    def __init__(self, is_pushed=False):
-        self.calls, self.events, self.watch_delays_us = [], [], []
+    def __init__(self, is_pushed=False, reads_late_drains=False):
+        self.calls, self.events, self.watch_delays_us, self.redial_delays_us = [], [], [], []
         self.now = 0
         self.registry = EndpointRegistry(lambda: self.now, lambda index: False)
         settings = decode_settings(SETTINGS)
@@ -71,7 +71,9 @@
             self,
             record_event,
             self.watch_delays_us.append,
+            self.redial_delays_us.append,
             is_pushed,
+            reads_late_drains,
             random.Random(5),
         )
         self.extended_calls = []
--- a/tests/process/server_doubles.py
+++ b/tests/process/server_doubles.py
@@ -45,6 +45,21 @@
         self.now = max(self.now, int(end))
 
 
+class ManualLoopWithFuture(ManualLoop):
+    """A manual loop that can create futures, which record only whether their result was set."""
+
+    def create_future(self):
+        return type(
+            "Future",
+            (),
+            {
+                "is_done": False,
+                "done": lambda future: future.is_done,
+                "set_result": lambda future, _: setattr(future, "is_done", True),
+            },
+        )()
+
+
 CONFIGURATION = {
     "name": "n3",
     "listen": "127.0.0.1:0",
--- a/tests/process/test_control_plane.py
+++ b/tests/process/test_control_plane.py
@@ -135,12 +135,12 @@
     server.reloader.read_configuration = read_configuration_file
     server.reload()
     assert (
-        server.registry_client.watch.address == CONFIGURATION["discovery"]
+        server.registry_client.watches.current.address == CONFIGURATION["discovery"]
         and server.counters["reloads_failed"] == 1
     )
     loop.run_for(2)  # the file is incomplete at first and complete in the end
     assert (
-        server.registry_client.watch.address == "127.0.0.1:99"
+        server.registry_client.watches.current.address == "127.0.0.1:99"
         and server.counters["reloads"] == 1
         and not outcomes
     )
@@ -159,14 +159,14 @@
     """A cycle replaces a call in the loop iteration in which its deadline expires, and the slot is reused."""
     server, loop = running_server
     server.registry_client.watch_endpoints(True)
-    old_watch, requests = server.registry_client.watch, []
+    old_watch, requests = server.registry_client.watches.current, []
     server.control_cycle.controller.run_cycle = lambda now, events, commands: (
         requests or requests.append(commands.watch_endpoints(True))
     )
     server.outgoing_calls.extend(old_watch, 10_000)
     server.timers.set(ServerDeadline.CONTROL_CYCLE, loop.now + 9_000)
     loop.run_for(0.1, delay=0.05)
-    new_watch = server.registry_client.watch
+    new_watch = server.registry_client.watches.current
     assert (
         new_watch is not old_watch
         and old_watch.end is ConnectionEnd.SUPERSEDED
@@ -254,7 +254,7 @@
 ):
     server, loop = started_server
     server.registry_client.watch_endpoints(True)
-    call = server.registry_client.watch
+    call = server.registry_client.watches.current
     loop.pending_callbacks.clear()
     server.timers.loop_timer = None
     server.timers.deadlines.heap, server.timers.deadlines.deadlines = [], {}
--- a/tests/process/test_registry_client.py
+++ b/tests/process/test_registry_client.py
@@ -10,7 +10,7 @@
     ListKind,
     WatchFailed,
 )
-from ravenshelf.process.registry_client import RETRY_DELAY_US
+from ravenshelf.process.registry_client import IDLE_TIMEOUT_US, RETRY_DELAY_US
 from ravenshelf.time_units import SECOND
 
 
@@ -192,7 +192,7 @@
     assert len(driver.watch_delays_us) == 2
     client.watch_endpoints(False)
     client.open_watch_if_due()
-    assert client.watch is None
+    assert client.watches.current is None
 
 
 def test_the_response_of_a_former_address_is_ignored(driver):
@@ -318,3 +318,103 @@
     driver.registry_client.open_watch()
     driver.calls[-1].close(ConnectionEnd.RESET)
     assert driver.events == [] and driver.watch_delays_us
+
+
+def open_silent_watch(driver):
+    """Return a new watch that has received nothing."""
+    driver.registry_client.watch_endpoints(True)
+    driver.calls[-1].status = 0
+    return driver.calls[-1]
+
+
+def redial(driver):
+    """Let the redial interval pass, and return the attempt that is opened."""
+    driver.now += driver.redial_delays_us[-1]
+    driver.registry_client.redial()
+    driver.calls[-1].status = 0
+    return driver.calls[-1]
+
+
+@pytest.mark.parametrize("answering", [0, 1, 2])
+def test_the_first_attempt_that_answers_becomes_the_watch_and_the_others_are_closed(driver, answering):
+    """Guards against a wait for a connection that was made during a cut and never answers."""
+    open_silent_watch(driver)
+    redial(driver)
+    redial(driver)
+    assert len(driver.calls) == 3 and not driver.events and all(call.end is None for call in driver.calls)
+    driver.calls[answering].send_list(6, target("s-2"))
+    assert [call.end for call in driver.calls] == [
+        None if number == answering else ConnectionEnd.SUPERSEDED for number in range(3)
+    ]
+    assert driver.events == [(ListKind.UPDATE, [(1, EndpointState.READY)])]
+    assert driver.redial_delays_us[-1] == IDLE_TIMEOUT_US
+
+
+def test_attempts_that_fail_are_reported_once_when_the_last_has_failed(driver):
+    open_silent_watch(driver)
+    redial(driver)
+    driver.calls[1].close(ConnectionEnd.RESET)
+    assert driver.events == [] and driver.registry_client.watches.current is driver.calls[0]
+    driver.calls[0].close(ConnectionEnd.SILENT)
+    assert driver.events == [WatchFailed()] and driver.counters["discovery_reset"] == 1
+
+
+@pytest.mark.parametrize(
+    "end, is_redialed",
+    [
+        (ConnectionEnd.RESET, True),
+        (ConnectionEnd.SILENT, True),
+        (ConnectionEnd.REFUSED, False),
+        (ConnectionEnd.DECLINED, False),
+        (ConnectionEnd.CUT_OFF, False),
+    ],
+)
+def test_a_registry_that_was_reached_is_left_to_the_backoff_of_the_controller(driver, end, is_redialed):
+    """Guards against calls at the short interval to a registry that is overloaded or restarts."""
+    open_silent_watch(driver).close(end)
+    assert driver.events == [WatchFailed()] and (driver.redial_delays_us[-1] is not None) == is_redialed
+
+
+def test_an_attempt_whose_response_has_begun_is_not_repeated_before_it_is_silent(driver):
+    """The first line may be an empty one, which is due after 2 s only."""
+    driver.registry_client.watch_endpoints(True)
+    driver.now += driver.redial_delays_us[-1]
+    driver.registry_client.redial()
+    assert len(driver.calls) == 1 and driver.now + driver.redial_delays_us[-1] == IDLE_TIMEOUT_US
+    driver.now += driver.redial_delays_us[-1]
+    driver.registry_client.redial()
+    assert len(driver.calls) == 2
+
+
+def test_a_move_of_the_registry_ends_attempts_at_the_old_address(driver):
+    client, answered_watch = driver.registry_client, driver.open_answered_watch()
+    driver.now += IDLE_TIMEOUT_US
+    client.redial()
+    attempt = redial(driver)
+    client.address_changed()
+    assert answered_watch.end is None and attempt.end is ConnectionEnd.SUPERSEDED
+    assert {answered_watch, driver.calls[-1]} == client.watches.calls()
+    # The watch at the old address is read, but does not replace the one at the new address.
+    answered_watch.send_list(7, target("s-3"))
+    assert client.watches.current is driver.calls[-1] and driver.calls[-1].end is None
+
+
+@pytest.mark.parametrize("replaces", ["silence", "move"])
+@pytest.mark.parametrize("is_complete", [True, False])
+def test_a_drain_that_a_replaced_watch_brings_late_is_not_lost(replaces, is_complete):
+    """Guards against an endpoint whose drain arrives only after a newer list that lacks the endpoint."""
+    driver = RegistryClientDriver(reads_late_drains=True)
+    client, old_watch = driver.registry_client, driver.open_answered_watch()
+    driver.now += IDLE_TIMEOUT_US
+    client.redial() if replaces == "silence" else client.address_changed()
+    entries = [target("s-2")] if is_complete else [target("s-1", state="DELETED")]
+    driver.calls[-1].send_list(8, *entries, is_complete=is_complete)
+    assert old_watch.end is None
+    old_watch.send_list(7, target("s-1", state="DRAINING"), target("s-2", state="DRAINING"))
+    assert driver.events[-1] == (ListKind.UPDATE, [(0, EndpointState.DRAINING), (0, EndpointState.GONE)])
+    assert driver.registry.version == 8 and list(driver.registry.entries) == [1]
+    event_count = len(driver.events)
+    old_watch.send_list(8, target("s-1", state="DELETED"), target("s-3"))
+    old_watch.on_line(old_watch, b"{")
+    old_watch.close(ConnectionEnd.SILENT)
+    assert len(driver.events) == event_count and client.watches.calls() == {driver.calls[-1]}
--- a/tests/process/test_schedules.py
+++ b/tests/process/test_schedules.py
@@ -14,7 +14,7 @@
 import pytest
 from conftest import RecordingTransport, feed, target
 from hypothesis import given, settings, strategies
-from server_doubles import CONFIGURATION, ManualLoop
+from server_doubles import CONFIGURATION, ManualLoopWithFuture
 
 from ravenshelf.net.accepted import AcceptedConnection
 from ravenshelf.net.connection_end import ConnectionEnd
@@ -29,21 +29,6 @@
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-class ManualLoopWithFuture(ManualLoop):
-    """A manual loop that can create futures, which record only whether their result was set."""
-
-    def create_future(self):
-        return type(
-            "Future",
-            (),
-            {
-                "is_done": False,
-                "done": lambda future: future.is_done,
-                "set_result": lambda future, _: setattr(future, "is_done", True),
-            },
-        )()
-
-
 class Registry:
     """The endpoint list at one address, with its own versions; a watch gets the changes after its version."""
 
@@ -256,12 +241,7 @@
         for key in server.timers.deadlines.deadlines:
             if isinstance(key, (CallTimeout, ConnectionTimeout)) and key[0].end is not None:
                 self.violations.append(f"a deadline without an owner: {type(key).__name__}")
-        calls = {
-            call
-            for call in (server.registry_client.watch, server.registry_client.former_watch)
-            if call is not None
-        }
-        if set(server.outgoing_calls.slots.items.values()) != calls:
+        if set(server.outgoing_calls.slots.items.values()) != server.registry_client.watches.calls():
             self.violations.append("a call without an owner")
         if any(connection.end is not None for connection in server.connections.items.values()):
             self.violations.append("a slot without an owner")
@@ -270,7 +250,7 @@
             or ServerDeadline.WATCH in server.timers.deadlines
             or WatchFailed() in server.control_cycle.events
         )
-        if server.registry_client.watch is None and not is_watch_due:
+        if server.registry_client.watches.current is None and not is_watch_due:
             self.violations.append("no watch is open and none is due")
 
     def step(self, action):
@@ -278,11 +258,11 @@
             call
             for call in self.open_watches()
             if self.last_data_at[call] > self.opened_at[call]
-            or call is self.server.registry_client.former_watch
+            or call is self.server.registry_client.watches.former
         ]
         action()
         superseded_watches = [call for call in answered_watches if call.end is ConnectionEnd.SUPERSEDED]
-        if superseded_watches and not self.server.registry_client.has_watch_answered:
+        if superseded_watches and not self.server.registry_client.watches.has_answered:
             self.violations.append("the only watch that had answered was closed")
         self.apply_messages()
         self.check_ownership()
@@ -394,15 +374,15 @@
 
 
 def close_former_watch_on_request(client, is_enabled, original_request=RegistryClient.watch_endpoints):
-    client._close_former_watch()
+    client.watches.close_former()
     original_request(client, is_enabled)
 
 
 def close_answered_watch_on_address_change(client):
     client.is_new_address, client.address_changes = True, client.address_changes + 1
-    if client.watch is not None:
-        client._close_former_watch()
-        client.former_watch, client.watch = client.watch, None
+    if client.watches.current is not None:
+        client.watches.close_former()
+        client.watches.former, client.watches.current = client.watches.current, None
     client.open_watch()
 
 
--- a/tools/outer_names.py
+++ b/tools/outer_names.py
@@ -42,7 +42,11 @@
         "ravenshelf/process/acceptor.py",
         "ravenshelf/process/relay.py",
     ),
-    "endpoint registry": ("ravenshelf/net/endpoint_codec.py", "ravenshelf/process/registry_client.py"),
+    "endpoint registry": (
+        "ravenshelf/net/endpoint_codec.py",
+        "ravenshelf/process/list_updates.py",
+        "ravenshelf/process/registry_client.py",
+    ),
     "simulator": (
         "ravenshelf/simulator/decode.py",
         "ravenshelf/simulator/encode.py",
