A proxy is served on the stream that connected last, and on another if it ends

Cause: the acceptor took the stream whose SUBSCRIBE came last as the newest, though the broken dial had connected earlier, and when the current stream ended the proxy was removed although another one was open. The counters tell it from other causes: stale grows by 20 in 10 s (the stream is open and read), one stream superseded, 11 of 12 proxies joined, nothing refused for messages.

Change: proxy_streams.py keeps all joined streams of a proxy. The one that connected last is current; if it ends, the newest open one takes its place with a complete table, and its earlier messages still count for the limit. The check for idle streams is a module of its own (idle_streams.py).

--- a/ravenshelf/net/accepted.py
+++ b/ravenshelf/net/accepted.py
@@ -1,12 +1,14 @@
 """An accepted connection: it splits received bytes into lines and writes messages."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
 from ravenshelf.net.buffered_connection import BufferedConnection
 from ravenshelf.net.connection_end import STREAM, UNIDENTIFIED, ConnectionEnd
 from ravenshelf.net.stream_codec import LINE_LIMIT_BYTES, may_begin_message
+from ravenshelf.policy.events import ProxyJoined
 from ravenshelf.state.buffers import BUFFER_BYTES, BufferPool
 
 # A connection with more unsent bytes than this, in addition to the socket's own buffer, is closed when the
@@ -15,6 +17,8 @@
 # An unidentified connection first sends a short line that identifies it. Many such connections that send
 # lines without an end must not fill the memory.
 UNIDENTIFIED_LINE_LIMIT_BYTES = 4 * 1024
+# The times of this many messages to a stream are kept, more than a counting window of any settings may hold.
+MESSAGE_TIMES_LIMIT = 256
 
 
 class ConnectionOwner(Protocol):
@@ -57,6 +61,10 @@
         is_superseded: Whether a newer connection of the same proxy or zone has replaced this one.
         has_sent_message: Whether the peer has sent a message since the acceptor's last idle sweep.
         connected_at: Time at which the connection was accepted, in microseconds.
+        number: Number of the connection among all accepted ones, in the order in which they connected.
+        last_message_at: Time at which the last message was received, in microseconds.
+        join_event: Event of the stream's last join, or None before it has joined.
+        message_times: Times at which the last messages were written to this stream, in microseconds.
     """
 
     def __init__(self, buffers: BufferPool, owner: ConnectionOwner):
@@ -73,6 +81,10 @@
         self.is_superseded = False
         self.has_sent_message = True
         self.connected_at = 0
+        self.number = 0
+        self.last_message_at = 0
+        self.join_event: ProxyJoined | None = None
+        self.message_times: deque[int] = deque(maxlen=MESSAGE_TIMES_LIMIT)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Report the new connection to the owner; called by the event loop."""
--- a/ravenshelf/policy/controller.py
+++ b/ravenshelf/policy/controller.py
@@ -248,7 +248,7 @@
         zone = min(event.zone, self.zone_count - 1)
         proxy = Proxy(zone, event.nominal_rate, len(self.settings.traffic_groups))
         self.tables.add_proxy(event.proxy, proxy)
-        self.channel.record_connection(event.proxy)
+        self.channel.record_connection(event.proxy, event.earlier_messages)
 
     def on_proxy_left(self, event: ProxyLeft) -> None:
         """Remove a proxy; proxies that have not joined are ignored."""
--- a/ravenshelf/policy/events.py
+++ b/ravenshelf/policy/events.py
@@ -100,12 +100,15 @@
         zone: The zone of the proxy.
         nominal_rate: The requests per second that the proxy announces; 0: unknown.
         is_fresh: Whether the proxy has no table from a control plane yet.
+        earlier_messages: The times of messages that were written to this stream before, if the proxy returns
+            to a stream that another one had replaced.
     """
 
     proxy: int
     zone: int
     nominal_rate: float
     is_fresh: bool
+    earlier_messages: tuple[int, ...] = ()
 
 
 @event
--- a/ravenshelf/policy/flow_control.py
+++ b/ravenshelf/policy/flow_control.py
@@ -245,9 +245,15 @@
             self.rate += (self.nominal_rate - self.rate) * RATE_RECOVERY_SHARE
         self.unconfirmed.rate = self.rate
 
-    def record_connection(self, proxy: int) -> None:
-        """Record that a proxy has joined: in a cycle, its messages are sent after those of the others."""
+    def record_connection(self, proxy: int, earlier_messages: Iterable[int] = ()) -> None:
+        """Record that a proxy has joined: in a cycle, its messages are sent after those of the others.
+
+        Args:
+            proxy: The proxy.
+            earlier_messages: The times of messages that were written to the same connection before.
+        """
         self._join_order[proxy] = next(self._join_counter)
+        self.messages.restore(proxy, earlier_messages)
 
     def record_disconnection(self, proxy: int, is_ended_by_server: bool = False) -> None:
         """Record that a proxy's connection has ended.
--- a/ravenshelf/policy/message_budget.py
+++ b/ravenshelf/policy/message_budget.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from math import ceil
 
 from ravenshelf.policy.urgency import WITHDRAWAL
@@ -108,6 +108,15 @@
             messages.reserve_used_at = now
         messages.times.append(now)
 
+    def restore(self, proxy: int, times: Iterable[int]) -> None:
+        """Count messages again that a proxy got on a connection to which it has returned."""
+        if not self.limit or not times:
+            return
+        messages = self._messages_by_proxy.setdefault(proxy, _ProxyMessages())
+        messages.times = deque(sorted({*messages.times, *times}))
+        if len(messages.times) > self.free_messages:
+            messages.reserve_used_at = messages.times[-1]
+
     def message_times(self, proxy: int) -> list[int]:
         """Return the times of a proxy's counted messages, oldest first."""
         messages = self._messages_by_proxy.get(proxy)
--- a/ravenshelf/process/acceptor.py
+++ b/ravenshelf/process/acceptor.py
@@ -1,6 +1,7 @@
 """The connection acceptor: the server's side of proxy streams and collector connections."""
 
 from collections.abc import Callable, Hashable
+from itertools import count
 from typing import Protocol
 
 from ravenshelf import log_events
@@ -15,8 +16,10 @@
     end_event_type,
 )
 from ravenshelf.net.stream_codec import MalformedMessageError, StreamDecoder, UnreadableConnectionError
-from ravenshelf.policy.events import Event, ProxyLeft
+from ravenshelf.policy.events import Event, ProxyJoined, ProxyLeft
 from ravenshelf.process.deadline_keys import ConnectionTimeout
+from ravenshelf.process.idle_streams import IdleStreams
+from ravenshelf.process.proxy_streams import ProxyStreams
 from ravenshelf.state.counters import Counters
 from ravenshelf.state.slots import SlotTable
 
@@ -24,8 +27,7 @@
 JOIN_TIMEOUT_US = 1_500_000
 # An unidentified connection younger than this is not closed to free a slot, unless all slots are in use.
 MINIMUM_LIFETIME_US = 1_000_000
-# A superseded connection that sends nothing for this long is closed. The streams of proxies are also checked
-# for silence at this interval, but closed for it only when all slots are in use.
+# A superseded connection that sends nothing for this long is closed.
 IDLE_TIMEOUT_US = 30_000_000
 # An acknowledgement can't take longer than the time since its marker was written; if its took_ms exceeds that
 # by more than this, the message is malformed.
@@ -77,17 +79,17 @@
         self.clock = clock
         self.publish = publish
         self.call_soon = call_soon
-        # The newest stream of each proxy, by the proxy's index.
-        self.streams: dict[int, AcceptedConnection] = {}
+        self._connection_numbers = count(1)
+        self.proxy_streams = ProxyStreams()
+        # The current stream of each proxy, by the proxy's index.
+        self.streams = self.proxy_streams.current
         # The newest collector connection of each zone, by the zone's index.
         self.collectors: dict[int, AcceptedConnection] = {}
         # Connections that have not identified themselves, oldest first.
         self.unidentified_connections: dict[AcceptedConnection, None] = {}
         # Connections replaced by a newer one, ordered by the time of their last message.
         self.superseded_connections: dict[AcceptedConnection, None] = {}
-        # Streams that sent nothing between the last two sweeps; the one most likely to be dead is last.
-        self.idle_streams: list[AcceptedConnection] = []
-        self.last_idle_sweep_at = 0
+        self.idle_streams = IdleStreams()
         # Connections whose sockets are still open after `stop`, so that written data can be delivered.
         self.lingering_connections: set[AcceptedConnection] = set()
         # Callback that `stop` sets; called when the last lingering socket has closed.
@@ -106,6 +108,7 @@
         """Accept a new connection, or close it if no slot can be freed for it or the server is stopping."""
         self.counters["accepted"] += 1
         connection.connected_at = self.clock()
+        connection.number = next(self._connection_numbers)
         if self.on_all_closed is not None:
             connection.close(ConnectionEnd.STOPPING)
             return
@@ -123,17 +126,17 @@
 
         The first choice is the superseded connection that has been silent longest, the second is the oldest
         unidentified connection, if it is older than MINIMUM_LIFETIME_US or all slots are in use. If there is
-        neither and all slots are in use, a stream that has sent nothing for IDLE_TIMEOUT_US is closed:
-        machines that crash leave their streams open, and these would otherwise keep live proxies out. A
-        healthy proxy without requests is silent as well and then has to join again.
+        neither and all slots are in use, a stream that is idle is closed: machines that crash leave their
+        streams open, and these would otherwise keep live proxies out. A healthy proxy without requests is
+        silent as well and then has to join again.
         """
-        self._sweep_idle(now)
+        self.idle_streams.sweep(now, self.streams.values())
         is_full = len(self.slots) == self.slots.size
         candidate = next(iter(self.superseded_connections), None) or next(
             iter(self.unidentified_connections), None
         )
         if candidate is None and is_full:
-            candidate = self._next_idle_stream()
+            candidate = self.idle_streams.pop()
             if candidate is not None:
                 candidate.close(ConnectionEnd.NO_CAPACITY)
         elif candidate is not None:
@@ -141,28 +144,6 @@
             if candidate.is_superseded or has_minimum_lifetime or is_full:
                 candidate.close(ConnectionEnd.NO_CAPACITY)
 
-    def _next_idle_stream(self) -> AcceptedConnection | None:
-        while self.idle_streams:
-            stream = self.idle_streams.pop()
-            if stream.end is None and not stream.has_sent_message:
-                return stream
-        return None
-
-    def _sweep_idle(self, now: int) -> None:
-        """Collect the streams that sent nothing since the last sweep.
-
-        It does nothing if the last sweep was less than IDLE_TIMEOUT_US ago.
-        """
-        if now - self.last_idle_sweep_at < IDLE_TIMEOUT_US:
-            return
-        self.last_idle_sweep_at = now
-        streams = list(self.streams.values())
-        silent_streams = [stream for stream in streams if not stream.has_sent_message]
-        # Streams with unacknowledged markers are more likely to be dead; they sort last and are closed first.
-        self.idle_streams = sorted(silent_streams, key=lambda stream: bool(stream.pending_markers))
-        for stream in streams:
-            stream.has_sent_message = False
-
     def _set_purpose(self, connection: AcceptedConnection, purpose: str) -> None:
         connection.purpose = purpose
         connection.is_superseded = False
@@ -188,7 +169,10 @@
         self.timers.set(ConnectionTimeout(connection), self.clock() + IDLE_TIMEOUT_US)
 
     def on_connection_ended(self, connection: AcceptedConnection) -> None:
-        """Remove a connection that has ended, and publish ProxyLeft if it was a proxy's current stream."""
+        """Remove a connection that has ended, and publish ProxyLeft if it was a proxy's current stream.
+
+        If the proxy has another stream that is open, the newest of these becomes current.
+        """
         assert connection.end is not None
         self.counters[f"{connection.purpose}_{connection.end.name.lower()}"] += 1
         self._remove_timeout(connection)
@@ -197,12 +181,16 @@
             zone: collector for zone, collector in self.collectors.items() if collector is not connection
         }
         proxy = connection.proxy
-        if connection.purpose != STREAM or proxy is None or self.streams.get(proxy) is not connection:
+        if connection.purpose != STREAM or proxy is None:
             return
-        del self.streams[proxy]
-        if end_event_type(STREAM, connection.end) is not None:
-            # If the server ended the stream, the lines queued for it still count as queued.
-            self.publish(ProxyLeft(proxy, connection.end in ENDS_BY_SERVER))
+        was_current = self.streams.get(proxy) is connection
+        newest_stream = self.proxy_streams.remove(proxy, connection)
+        if not was_current or end_event_type(STREAM, connection.end) is None:
+            return
+        # If the server ended the stream, the lines queued for it still count as queued.
+        self.publish(ProxyLeft(proxy, connection.end in ENDS_BY_SERVER))
+        if newest_stream is not None:
+            self._resume(newest_stream)
 
     def stop(self, on_all_closed: Callable[[], None]) -> None:
         """Close all connections, delivering what was written to them, and accept no more.
@@ -244,8 +232,10 @@
         """
         stream = self.streams.get(proxy)
         if stream is not None:
+            now = self.clock()
             if marker is not None:
-                stream.pending_markers[marker] = self.clock()
+                stream.pending_markers[marker] = now
+            stream.message_times.append(now)
             stream.write(message)
 
     # Messages
@@ -267,6 +257,7 @@
                 connection.write(stream_codec.PONG)
             else:
                 self.handlers[kind](connection, stream_codec.parse_fields(words))
+            connection.last_message_at = self.clock()
             self.counters[f"received_{kind.lower()}"] += 1
         except MalformedMessageError as error:
             logged_line = repr(line[:LOGGED_LINE_BYTES])
@@ -287,20 +278,47 @@
                 "expected SUBSCRIBE on a stream of the same proxy, found it on another connection"
             )
         previous_stream = self.streams.get(proxy)
-        if connection.proxy is not None and previous_stream is not connection:
-            self.counters["stale"] += 1  # A newer stream of the proxy has superseded this one.
+        is_first_join = connection.proxy is None
+        is_replaced = not is_first_join and previous_stream is not connection
+        if is_replaced and not self.proxy_streams.is_current_silent(proxy, self.clock()):
+            self.counters["stale"] += 1
+            return
+        connection.proxy = proxy
+        connection.join_event = join_event
+        connection.has_term_check = stream_codec.has_term_check(fields)
+        is_newest = self.proxy_streams.add(proxy, connection)
+        if is_first_join:
+            self._set_purpose(connection, STREAM)
+        if is_first_join and not is_newest and previous_stream is not None:
+            # The connection broke before what the proxy sent on it arrived: it has connected again since.
+            self.counters["joins_of_older_connections"] += 1
+            self._supersede(connection)
             return
         if previous_stream is connection:
             # The stream is intact, so the proxy will still acknowledge the markers in flight on it.
             self.publish(ProxyLeft(proxy, True))
-        self.streams[proxy] = connection
-        connection.proxy = proxy
-        connection.has_term_check = stream_codec.has_term_check(fields)
-        self._set_purpose(connection, STREAM)
-        if previous_stream is not None and previous_stream is not connection:
-            self._supersede(previous_stream)  # No event is published when the superseded stream ends.
+        self._make_current(connection, join_event)
+
+    def _make_current(self, stream: AcceptedConnection, join_event: ProxyJoined) -> None:
+        """Serve a proxy on a stream; no event is published when the stream that it replaces ends."""
+        previous_stream = self.streams.get(join_event.proxy)
+        self.streams[join_event.proxy] = stream
+        stream.is_superseded = False
+        self._remove_timeout(stream)
+        if previous_stream is not None and previous_stream is not stream:
+            self._supersede(previous_stream)
         self.publish(join_event)
 
+    def _resume(self, stream: AcceptedConnection) -> None:
+        """Serve a proxy on a stream that joined before, and had been replaced or was not the newest one.
+
+        The proxy may have tables, and it has got the messages that were written to the stream before.
+        """
+        assert stream.join_event is not None
+        self.counters["streams_resumed"] += 1
+        join_event = stream.join_event._replace(is_fresh=False, earlier_messages=tuple(stream.message_times))
+        self._make_current(stream, join_event)
+
     def _identify_collector(self, connection: AcceptedConnection, fields: dict[str, str]) -> None:
         zone = self.decoder.decode_zone(fields)
         if connection.proxy is not None:
@@ -348,7 +366,9 @@
     def _is_stale(self, connection: AcceptedConnection, proxy: int) -> bool:
         """Return whether the connection is a stream that is not the proxy's current one.
 
-        Reports from such a stream are counted and otherwise ignored. A collector's reports are never stale.
+        Reports from such a stream are counted and otherwise ignored. But if the current one has been silent
+        for long, the proxy lives on the stream that reports, which becomes current. A collector's reports are
+        never stale.
 
         Raises:
             MalformedMessageError: The connection has not identified itself.
@@ -357,5 +377,8 @@
             return False
         if connection.proxy is None:
             raise MalformedMessageError("expected SUBSCRIBE or SOURCE as the first message")
+        if connection.proxy == proxy and self.proxy_streams.is_current_silent(proxy, self.clock()):
+            self._resume(connection)
+            return False
         self.counters["stale"] += 1
         return True
--- a/tests/policy/test_message_budget.py
+++ b/tests/policy/test_message_budget.py
@@ -202,3 +202,15 @@
     assert max(fleet.writing_delays.values()) + LONGEST_DELIVERY <= drain_grace
     assert fleet.most_messages() <= LIMIT
     assert not fleet.writer.emptied_tables
+
+
+def test_messages_of_an_earlier_time_on_a_stream_count_again():
+    """Guards against a proxy that gets more messages than its limit after it returned to a stream."""
+    budget = MessageBudget(3, 10 * SECOND, None)
+    budget.record_message(0, 100 * SECOND)
+    budget.restore(0, (98 * SECOND, 99 * SECOND, 100 * SECOND))
+    assert budget.message_times(0) == [98 * SECOND, 99 * SECOND, 100 * SECOND]
+    assert not budget.allows([0], 101 * SECOND, WITHDRAWAL)
+    assert budget.allows([0], 110 * SECOND, WITHDRAWAL)
+    budget.restore(1, ())
+    assert not budget.message_times(1)
