Load reports at full speed no longer fill the memory

Callers would see: a process killed at its memory limit.

Cause: by tracemalloc, ZoneLatencyGaps kept each latency until the next plan and MissBound each one of the first 10 s for good; nothing else grew.

Change: the gaps keep only samples that may become the minimum of the last second, at most one a cycle, which gives the same minimum; the miss bound keeps 65,536 latencies while it learns, and none after that.

--- a/ravenshelf/policy/latency_bounds.py
+++ b/ravenshelf/policy/latency_bounds.py
@@ -4,12 +4,15 @@
 """
 
 from bisect import insort
+from collections import deque
 from collections.abc import Sequence
 
 from ravenshelf.time_units import SECOND
 
 # The miss bound is learnt during this time after the first load report.
 LEARNING_TIME = 10 * SECOND
+# At most this many latencies are kept for that; further ones are ignored.
+LEARNT_LATENCIES_LIMIT = 65_536
 # The miss bound is this multiple of the median latency.
 MEDIAN_MULTIPLE = 3
 # The latency between two zones is the minimum over this time.
@@ -44,7 +47,9 @@
         is_first = not self.first_report_at
         if is_first:
             self.first_report_at = now
-        if now - self.first_report_at <= LEARNING_TIME:
+        if now - self.first_report_at > LEARNING_TIME:
+            self._sorted_latencies = []
+        elif len(self._sorted_latencies) < LEARNT_LATENCIES_LIMIT:
             insort(self._sorted_latencies, latency)
             median_latency = self._sorted_latencies[len(self._sorted_latencies) // 2]
             self.value = min(MEDIAN_MULTIPLE * median_latency, self._latency_objective)
@@ -58,24 +63,25 @@
         # The gaps are in microseconds. The rows are sending zones, the columns receiving zones.
         self._gaps = [[0] * zone_count for _ in range(zone_count)]
         # The keys are pairs of a sending and a receiving zone. Each sample is a time and a latency, both in
-        # microseconds.
-        self._recent_samples: dict[tuple[int, int], list[tuple[int, int]]] = {}
+        # microseconds. Only samples that may become the minimum are kept, so times and latencies ascend.
+        self._recent_samples: dict[tuple[int, int], deque[tuple[int, int]]] = {}
 
     def add(self, now: int, sender: int, receiver: int, latency: int) -> None:
         """Add the mean latency of requests from one zone to endpoints of another, or of the same zone."""
-        self._recent_samples.setdefault((sender, receiver), []).append((now, latency))
+        samples = self._recent_samples.setdefault((sender, receiver), deque())
+        while samples and samples[-1][1] >= latency:
+            samples.pop()
+        if not samples or samples[-1][0] < now:
+            samples.append((now, latency))
 
     def update(self, now: int) -> None:
         """Update the gaps that have changed enough, from the minimum latencies of the last second."""
         window_start = now - GAP_WINDOW
-        self._recent_samples = {
-            zones: [sample for sample in samples if sample[0] >= window_start]
-            for zones, samples in self._recent_samples.items()
-        }
+        for samples in self._recent_samples.values():
+            while samples and samples[0][0] < window_start:
+                samples.popleft()
         minimum_latencies = {
-            zones: min(latency for _, latency in samples)
-            for zones, samples in self._recent_samples.items()
-            if samples
+            zones: samples[0][1] for zones, samples in self._recent_samples.items() if samples
         }
         for (sender, receiver), latency in minimum_latencies.items():
             if (receiver, receiver) in minimum_latencies:
