Half-sent messages of all connections together are limited in memory

Callers would see: a process killed at its memory limit.

Cause: each connection had a limit, all together none; frames had their full length before the other side was identified; lines were split into fields before the check.

Change: receive_budget.py counts incomplete lines (an eighth of limits.memory_mb) and frames (24 MB) of a listener, and closes the connection that holds most; the first frame of an accepted connection has 64 KiB, a message 256 fields at most.

Also: delays of calls to the registry come from a random source of their own, so that they no longer change the controller's random choices.

--- a/ravenshelf/distribution/connection.py
+++ b/ravenshelf/distribution/connection.py
@@ -5,7 +5,8 @@
 from ravenshelf.distribution.messages import MalformedMessageError, Message, decode, encode
 from ravenshelf.net.buffered_connection import BufferedConnection
 from ravenshelf.net.connection_end import ConnectionEnd
-from ravenshelf.net.frames import FrameDecoder, pack_frame
+from ravenshelf.net.frames import FIRST_FRAME_LIMIT_BYTES, FRAME_LIMIT_BYTES, FrameDecoder, pack_frame
+from ravenshelf.net.receive_budget import ReceiveBudget
 from ravenshelf.state.buffers import BufferPool
 
 WRITE_BUFFER_BYTES = 65_536  # No messages are pulled for a subscriber that has more unsent bytes than this.
@@ -33,18 +34,26 @@
     It counts messages, and their bytes without frames.
     """
 
-    def __init__(self, buffers: BufferPool, listener: ConnectionListener, name: str = ""):
+    def __init__(
+        self,
+        buffers: BufferPool,
+        listener: ConnectionListener,
+        name: str = "",
+        receive_budget: ReceiveBudget | None = None,
+    ):
         """Create a connection that the event loop opens.
 
         Args:
             buffers: Pool of the read buffers.
             listener: Receiver of the connection's events.
             name: Name of the dialled parent. For a subscriber the name is set when it has identified itself.
+            receive_budget: Memory for the incomplete frames of all subscribers; None for a dialled parent.
         """
         super().__init__(buffers)
         self.listener = listener
         self.name = name
-        self.frames = FrameDecoder()
+        self.receive_budget = receive_budget
+        self.frames = FrameDecoder(FRAME_LIMIT_BYTES if receive_budget is None else FIRST_FRAME_LIMIT_BYTES)
         self.is_paused = False
         self.bytes_in = 0
         self.bytes_out = 0
@@ -83,6 +92,8 @@
         for message in messages:
             if self.end is None:
                 self.listener.message_received(self, message)
+        if self.end is None and self.receive_budget is not None:
+            self.receive_budget.record(self, len(self.frames.incomplete_data))
 
     def _count_received(self, bodies: list[bytes]) -> list[bytes]:
         self.messages_in += len(bodies)
@@ -101,5 +112,8 @@
             self.transport.write(pack_frame(payload))
 
     def handle_end(self) -> None:
-        """Notify the listener; called once, whichever side ended the connection."""
+        """Drop an incomplete frame and notify the listener; called once, whichever side ended it."""
+        self.frames.incomplete_data = bytearray()
+        if self.receive_budget is not None:
+            self.receive_budget.record(self, 0)
         self.listener.connection_ended(self)
--- a/ravenshelf/distribution/subscribers.py
+++ b/ravenshelf/distribution/subscribers.py
@@ -22,6 +22,8 @@
 from ravenshelf.distribution.timers import Timers
 from ravenshelf.net.connection_end import ConnectionEnd
 from ravenshelf.net.datagrams import parse_address
+from ravenshelf.net.frames import INCOMPLETE_FRAMES_LIMIT_BYTES
+from ravenshelf.net.receive_budget import ReceiveBudget
 from ravenshelf.state.buffers import BufferPool
 
 IDENTIFICATION_TIMEOUT_US = 2_000_000  # The first message of a connection must arrive within this time.
@@ -59,6 +61,7 @@
         self.distributor = distributor
         self.listener = listener
         self.connections: dict[str, MessageConnection] = {}
+        self.receive_budget = ReceiveBudget(INCOMPLETE_FRAMES_LIMIT_BYTES)
         self.rejected_count = 0  # Connections rejected since the start.
         self.bytes_out = 0  # Bytes of all messages since the start, without frames.
         self._unidentified_connections: dict[int, MessageConnection] = {}
@@ -69,7 +72,7 @@
         """Listen at host:port; return the address, with the port that the system chose for port 0."""
         host, port = parse_address(listen)
         self._server = await self.node.loop.create_server(
-            lambda: MessageConnection(self.buffers, self), host, port
+            lambda: MessageConnection(self.buffers, self, receive_budget=self.receive_budget), host, port
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
--- a/ravenshelf/leadership/link.py
+++ b/ravenshelf/leadership/link.py
@@ -16,6 +16,7 @@
 from ravenshelf.net import frames as net_frames
 from ravenshelf.net.buffered_connection import BufferedConnection
 from ravenshelf.net.connection_end import ConnectionEnd
+from ravenshelf.net.receive_budget import ReceiveBudget
 from ravenshelf.state.buffers import BufferPool
 
 # The version of the protocol that this side uses, and the oldest version that the other side may use.
@@ -51,6 +52,10 @@
 class LinkOwner(Protocol):
     """Receives the events of a link."""
 
+    @property
+    def receive_budget(self) -> ReceiveBudget:
+        """Memory for the incomplete frames of all links."""
+
     def hello_received(self, link: "Link", hello: list) -> str | None:
         """Handle the first message, and return why the other side is rejected, or None."""
 
@@ -71,7 +76,7 @@
         super().__init__(buffers)
         self.owner = owner
         self.hello = hello
-        self.frames = Frames()
+        self.frames = Frames(net_frames.FIRST_FRAME_LIMIT_BYTES)
         self.member: int | None = None
 
     def connection_made(self, transport: Any) -> None:
@@ -97,6 +102,8 @@
             elif self.owner.hello_received(self, message) is not None:
                 self.close(ConnectionEnd.DECLINED)
                 return
+        if self.end is None:
+            self.owner.receive_budget.record(self, len(self.frames.incomplete_data))
 
     def send(self, data: bytes) -> None:
         """Send a frame, or end the connection if too many bytes are unsent already."""
@@ -131,7 +138,9 @@
         )
 
     def handle_end(self) -> None:
-        """Report the end of the connection to the owner."""
+        """Drop an incomplete frame and report the end of the connection to the owner."""
+        self.frames.incomplete_data = bytearray()
+        self.owner.receive_budget.record(self, 0)
         self.owner.link_closed(self)
 
 
--- a/ravenshelf/leadership/peer_connections.py
+++ b/ravenshelf/leadership/peer_connections.py
@@ -12,6 +12,8 @@
 from ravenshelf.leadership.message_codec import MalformedMessageError
 from ravenshelf.net.connection_end import ConnectionEnd
 from ravenshelf.net.datagrams import parse_address
+from ravenshelf.net.frames import INCOMPLETE_FRAMES_LIMIT_BYTES
+from ravenshelf.net.receive_budget import ReceiveBudget
 from ravenshelf.state.buffers import BufferPool
 from ravenshelf.state.counters import Counters
 from ravenshelf.time_units import SECOND
@@ -41,6 +43,7 @@
     Attributes:
         links: The identified connections, by the other member's number.
         incarnations: The latest incarnation of each other member that has connected.
+        receive_budget: Memory for the incomplete frames of all links.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         self.counters = counters
         self.links: dict[int, Link] = {}
         self.incarnations: dict[int, int] = {}
+        self.receive_budget = ReceiveBudget(INCOMPLETE_FRAMES_LIMIT_BYTES)
         self._receiver = receiver
         self._buffers = BufferPool()
         self._unidentified_since: dict[Link, int] = {}
--- a/ravenshelf/net/accepted.py
+++ b/ravenshelf/net/accepted.py
@@ -7,6 +7,7 @@
 
 from ravenshelf.net.buffered_connection import BufferedConnection
 from ravenshelf.net.connection_end import STREAM, UNIDENTIFIED, ConnectionEnd
+from ravenshelf.net.receive_budget import ReceiveBudget
 from ravenshelf.net.stream_codec import LINE_LIMIT_BYTES, may_begin_message
 from ravenshelf.policy.events import ProxyJoined
 from ravenshelf.state.buffers import BUFFER_BYTES, BufferPool
@@ -36,6 +37,10 @@
     def on_socket_closed(self, connection: "AcceptedConnection") -> None:
         """Handle the closing of the connection's socket, which may happen after the connection's end."""
 
+    @property
+    def receive_budget(self) -> ReceiveBudget:
+        """Memory for the incomplete lines of all connections."""
+
     @property
     def call_soon(self) -> Callable[[Callable[[], None]], object]:
         """Function that schedules a callback for the event loop's next iteration."""
@@ -124,8 +129,12 @@
             self.owner.on_line(self, line)
             if self.end is not None:
                 return
-        if not self._end_if_too_long(len(self.partial_line)) and not may_begin_message(self.partial_line):
+        if self._end_if_too_long(len(self.partial_line)):
+            return
+        if not may_begin_message(self.partial_line):
             self.close(ConnectionEnd.UNREADABLE)
+            return
+        self.owner.receive_budget.record(self, len(self.partial_line))
 
     def _end_if_too_long(self, size: int) -> bool:
         """Close the connection if a line of this size is too long; return whether it has ended."""
@@ -165,4 +174,5 @@
     def handle_end(self) -> None:
         """Drop an incomplete line and report the end to the owner."""
         self.partial_line = bytearray()
+        self.owner.receive_budget.record(self, 0)
         self.owner.on_connection_ended(self)
--- a/ravenshelf/net/connection_end.py
+++ b/ravenshelf/net/connection_end.py
@@ -20,6 +20,7 @@
     UNREAD = "left too much data unread"
     SUPERSEDED = "was superseded by a newer one"
     NO_CAPACITY = "was closed at the limit of descriptors"
+    OUT_OF_MEMORY = "was closed at the limit of memory for incomplete messages"
     FAILED = "failed because of an internal error"
     STOPPING = "was closed because the server stops"
 
@@ -36,6 +37,7 @@
 ENDS_BY_SERVER = (
     ConnectionEnd.UNREAD,
     ConnectionEnd.NO_CAPACITY,
+    ConnectionEnd.OUT_OF_MEMORY,
     ConnectionEnd.SILENT,
     ConnectionEnd.FAILED,
 )
--- a/ravenshelf/net/stream_codec.py
+++ b/ravenshelf/net/stream_codec.py
@@ -22,6 +22,10 @@
 }
 
 LINE_LIMIT_BYTES = 1024 * 1024  # maximum length of a message
+# Maximum number of fields of a message, and of values of a load report. A message of the longest permitted
+# length can hold hundreds of thousands of short ones, whose texts take fifty times its memory.
+FIELDS_LIMIT = 256
+LOAD_VALUES_LIMIT = 64
 UPDATES_LIMIT = 64  # maximum number of table updates in a message
 NUMBER_LIMIT = 2.0**32  # larger than any valid count or time
 WINDOW_LIMIT_MS = 600_000.0  # longer than any window that a report covers
@@ -53,11 +57,13 @@
 def split_line(line: bytes) -> tuple[str, list[str]]:
     """Return the kind of a message and the words that follow it.
 
+    Of a message with too many words, only the first ones are split; `parse_fields` rejects it.
+
     Raises:
         UnreadableConnectionError: The line is empty or not UTF-8, or its first word is not a message kind.
     """
     try:
-        kind, *words = line.decode("utf-8").split()
+        kind, *words = line.decode("utf-8").split(maxsplit=FIELDS_LIMIT + 1)
     except (UnicodeDecodeError, ValueError) as error:
         raise UnreadableConnectionError("expected a message kind and fields in UTF-8") from error
     if kind not in KINDS:
@@ -72,8 +78,10 @@
         words: The message's words after its kind, each "name=value".
 
     Raises:
-        MalformedMessageError: A word has another form, or a name occurs twice.
+        MalformedMessageError: A word has another form, a name occurs twice, or there are over `FIELDS_LIMIT`.
     """
+    if len(words) > FIELDS_LIMIT:
+        raise MalformedMessageError(f"expected at most {FIELDS_LIMIT} fields, found more")
     fields = {}
     for word in words:
         name, equals, value = word.partition("=")
@@ -223,7 +231,7 @@
     if not text:
         return []
     named_values = []
-    for item in text.split(","):
+    for item in text.split(",", LOAD_VALUES_LIMIT):
         name, _, value = item.partition(separator)
         named_values.append((name, value))
     return named_values
--- a/ravenshelf/process/acceptor.py
+++ b/ravenshelf/process/acceptor.py
@@ -15,6 +15,7 @@
     ConnectionEnd,
     end_event_type,
 )
+from ravenshelf.net.receive_budget import ReceiveBudget
 from ravenshelf.net.stream_codec import MalformedMessageError, StreamDecoder, UnreadableConnectionError
 from ravenshelf.policy.events import Event, ProxyJoined, ProxyLeft
 from ravenshelf.process.deadline_keys import ConnectionTimeout
@@ -33,6 +34,8 @@
 # by more than this, the message is malformed.
 CLOCK_TOLERANCE_US = 1_000_000
 LOGGED_LINE_BYTES = 120
+# Incomplete lines of all connections may take this much memory, unless the caller states another limit.
+DEFAULT_INCOMPLETE_LINE_BYTES = 24_000_000
 
 
 class DeadlineSetter(Protocol):
@@ -58,6 +61,7 @@
         clock: Function that returns the time in microseconds.
         publish: Function that is called with each event.
         call_soon: Function that schedules a callback for the event loop's next iteration.
+        incomplete_line_bytes: Number of bytes that the incomplete lines of all connections may take together.
     """
 
     def __init__(
@@ -70,6 +74,7 @@
         clock: Callable[[], int],
         publish: Callable[[Event], None],
         call_soon: Callable[[Callable[[], None]], object],
+        incomplete_line_bytes: int = DEFAULT_INCOMPLETE_LINE_BYTES,
     ):
         self.decoder = decoder
         self.slots = slots
@@ -79,6 +84,7 @@
         self.clock = clock
         self.publish = publish
         self.call_soon = call_soon
+        self.receive_budget = ReceiveBudget(incomplete_line_bytes)
         self._connection_numbers = count(1)
         self.proxy_streams = ProxyStreams()
         # The current stream of each proxy, by the proxy's index.
--- a/ravenshelf/process/configuration.py
+++ b/ravenshelf/process/configuration.py
@@ -3,6 +3,7 @@
 import json
 import os
 from collections.abc import Callable, Mapping
+from math import isfinite
 from typing import Any
 
 from ravenshelf.errors import RavenshelfError
@@ -79,6 +80,10 @@
         raise ConfigurationError(
             "limits.sockets", f"expected a whole number from {MINIMUM_SOCKETS}, not {sockets!r}"
         )
+    memory_mb = limits.get("memory_mb")
+    is_number = isinstance(memory_mb, int | float) and not isinstance(memory_mb, bool)
+    if memory_mb is not None and not (is_number and memory_mb > 0 and isfinite(memory_mb)):
+        raise ConfigurationError("limits.memory_mb", f"expected a number above 0, not {memory_mb!r}")
 
 
 def _check_seed(configuration: Configuration) -> None:
--- a/ravenshelf/process/control_plane.py
+++ b/ravenshelf/process/control_plane.py
@@ -35,6 +35,10 @@
     from ravenshelf.process.logs import Sink
 
 DEFAULT_SOCKETS = 1024
+DEFAULT_MEMORY_MB = 192
+BYTES_PER_MEGABYTE = 1_000_000
+# Incomplete lines of all connections may take this share of the memory limit.
+INCOMPLETE_LINES_SHARE = 1 / 8
 RESERVED_DESCRIPTORS = 24  # File descriptors reserved for the process itself, which was seen to use 12.
 CALL_LIMIT = 64  # Maximum number of open calls to the endpoint registry and to endpoints.
 SOCKETS_PER_CALL = 16  # One in this many sockets may be used for outgoing calls.
@@ -100,7 +104,9 @@
         )
 
     def _make_network(self, settings: Settings) -> None:
-        sockets = self.configuration.get("limits", {}).get("sockets", DEFAULT_SOCKETS)
+        limits = self.configuration.get("limits", {})
+        sockets = limits.get("sockets", DEFAULT_SOCKETS)
+        memory_mb = limits.get("memory_mb", DEFAULT_MEMORY_MB)
         call_limit = min(CALL_LIMIT, sockets // SOCKETS_PER_CALL)
         connection_limit = sockets - RESERVED_DESCRIPTORS - call_limit
         self.outgoing_calls = OutgoingCalls(
@@ -124,6 +130,7 @@
             self.clock,
             self.publish,
             self.loop.call_soon,
+            round(memory_mb * BYTES_PER_MEGABYTE * INCOMPLETE_LINES_SHARE),
         )
 
     def _make_control_cycle(self, settings: Settings) -> None:
@@ -139,7 +146,8 @@
             self._schedule_redial,
             settings.discovery == "pushed",
             settings.warm_up.removal_is_not_binding,
-            self.control_cycle.controller.random_source,
+            # A source of its own, so that calls to the registry do not change the controller's decisions.
+            random.Random(f"registry client {seed}"),
         )
         self.health_checks = HealthChecks(
             settings, self.registry, self.counters, self.outgoing_calls, self.publish, self.clock
--- a/tests/net/test_stream_codec.py
+++ b/tests/net/test_stream_codec.py
@@ -3,7 +3,16 @@
 import pytest
 
 from ravenshelf.net import stream_codec
-from ravenshelf.net.stream_codec import LOAD_COLUMN_ALIASES
+from ravenshelf.net.stream_codec import (
+    FIELDS_LIMIT,
+    LOAD_COLUMN_ALIASES,
+    LOAD_VALUES_LIMIT,
+    RATE,
+    MalformedMessageError,
+    parse_fields,
+    parse_named_values,
+    split_line,
+)
 from ravenshelf.state.table_update import AdmissionLevel, TableUpdate
 
 
@@ -59,3 +68,22 @@
     assert (
         stream_codec.decode_load_columns(stream_codec.parse_named_values(text, "="), columns) == expected_load
     )
+
+
+@pytest.mark.parametrize(
+    "count, is_valid", [(FIELDS_LIMIT, True), (FIELDS_LIMIT + 1, False), (100_000, False)]
+)
+def test_a_message_of_very_many_fields_is_rejected_before_it_is_split(count, is_valid):
+    """Guards against a line whose hundreds of thousands of short fields take fifty times its memory."""
+    line = b"RATE " + b" ".join(b"n%d=1" % number for number in range(count))
+    kind, words = split_line(line)
+    assert kind == RATE and len(words) <= FIELDS_LIMIT + 1
+    if is_valid:
+        assert len(parse_fields(words)) == count
+    else:
+        with pytest.raises(MalformedMessageError, match="at most 256 fields"):
+            parse_fields(words)
+
+
+def test_a_load_report_of_very_many_values_is_split_only_in_part():
+    assert len(parse_named_values(",".join(["active:1"] * 100_000), ":")) <= LOAD_VALUES_LIMIT + 1
