--- a/ravenshelf/process/run.py
+++ b/ravenshelf/process/run.py
@@ -10,7 +10,7 @@
 from ravenshelf import log_events
 from ravenshelf.process import logs
 from ravenshelf.process.clock import Clock
-from ravenshelf.process.control_plane import serve
+from ravenshelf.process.life_cycle import serve
 
 if TYPE_CHECKING:  # Imported for annotations only, so that it is not loaded without an operator file.
     from ravenshelf.operator_config.tables import OperatorConfiguration
