A refusal that ends a connection made in a cut no longer delays the next one

Connections that are being made in a cut are reset once it is over, which the system reports as refused, or not reached at all.

Cause: each refusal counted as a registry that was reached, so the next connection waited for the controller's backoff.

The test of cuts resets connections that are still being made.

--- a/ravenshelf/net/connection_end.py
+++ b/ravenshelf/net/connection_end.py
@@ -12,6 +12,7 @@
     CLOSED = "closed by the other side"
     RESET = "reset by the other side"
     REFUSED = "could not be opened"
+    UNREACHABLE = "could not be opened, because the other side was not reached"
     SILENT = "sent nothing before its deadline"
     CUT_OFF = "ended before its response was complete"
     DECLINED = "answered, but not with what was requested"
--- a/ravenshelf/net/http.py
+++ b/ravenshelf/net/http.py
@@ -64,15 +64,17 @@
         self.dialing: asyncio.Task[None] | None = None
 
     def dial(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Start to open the connection; if that fails, the call ends with REFUSED."""
+        """Start to open the connection; if that fails, the call ends with REFUSED or UNREACHABLE."""
         self.dialing = loop.create_task(self._dial(loop))
 
     async def _dial(self, loop: asyncio.AbstractEventLoop) -> None:
         try:
             host, _, port = self.address.rpartition(":")
             await loop.create_connection(lambda: self, host, int(port))
-        except (OSError, ValueError):
+        except ConnectionRefusedError:
             self.close(ConnectionEnd.REFUSED)
+        except (OSError, ValueError):
+            self.close(ConnectionEnd.UNREACHABLE)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the request, or abort the connection if the call has ended; called by the event loop."""
@@ -90,7 +92,8 @@
 
         A connection that the other side closes before the response is complete ends with CUT_OFF.
         """
-        if self.dialing is not None and self.transport is None and end is not ConnectionEnd.REFUSED:
+        has_dial_failed = end in (ConnectionEnd.REFUSED, ConnectionEnd.UNREACHABLE)
+        if self.dialing is not None and self.transport is None and not has_dial_failed:
             self.dialing.cancel()
         if end is ConnectionEnd.CLOSED and not self.is_complete:
             end = ConnectionEnd.CUT_OFF
--- a/ravenshelf/process/registry_client.py
+++ b/ravenshelf/process/registry_client.py
@@ -39,7 +39,6 @@
     ConnectionEnd.CLOSED,
     ConnectionEnd.CUT_OFF,
     ConnectionEnd.DECLINED,
-    ConnectionEnd.REFUSED,
     ConnectionEnd.TOO_LONG,
     ConnectionEnd.UNREADABLE,
 )
@@ -322,7 +321,7 @@
             self.publish(changes or EndpointsListed(ListKind.UPDATE, ()))
 
     def _handle_watch_end(self, call: HttpCall) -> None:
-        self.watch_states.pop(call, None)
+        state = self.watch_states.pop(call, None)
         is_attempt_or_current = self.watches.is_attempt_or_current(call)
         self.watches.remove(call)
         if not is_attempt_or_current:
@@ -333,12 +332,20 @@
         if self.watches.current is not None:  # Another attempt may still answer.
             self._record_failure(WATCH, end, call)
             return
-        if end in ENDS_OF_REACHED_REGISTRY:
+        if end in ENDS_OF_REACHED_REGISTRY or (end is ConnectionEnd.REFUSED and self._is_new(state)):
             self.schedule_redial(None)
         self._report_failure(WATCH, end, call)
         if end is not ConnectionEnd.STOPPING and (self.is_pushed or self.watches.former is not None):
             self._schedule_watch()
 
+    def _is_new(self, state: WatchState | None) -> bool:
+        """Return whether a watch was opened just now.
+
+        A refusal at once shows that the registry was reached. One that comes later ends a connection that was
+        made during a cut.
+        """
+        return state is not None and self.registry.clock() - state.opened_at < REDIAL_INTERVAL_US
+
     # Responses to a fetch
 
     def _handle_fetch_end(self, call: HttpCall, address_changes: int) -> None:
--- a/tests/process/test_registry_client.py
+++ b/tests/process/test_registry_client.py
@@ -360,18 +360,24 @@
 
 
 @pytest.mark.parametrize(
-    "end, is_redialed",
+    "end, seconds, is_redialed",
     [
-        (ConnectionEnd.RESET, True),
-        (ConnectionEnd.SILENT, True),
-        (ConnectionEnd.REFUSED, False),
-        (ConnectionEnd.DECLINED, False),
-        (ConnectionEnd.CUT_OFF, False),
+        (ConnectionEnd.RESET, 0, True),
+        (ConnectionEnd.SILENT, 0, True),
+        (ConnectionEnd.UNREACHABLE, 0, True),
+        (ConnectionEnd.REFUSED, 2, True),  # a reset that answers a connection of a cut
+        (ConnectionEnd.REFUSED, 0, False),
+        (ConnectionEnd.DECLINED, 0, False),
+        (ConnectionEnd.CUT_OFF, 0, False),
     ],
 )
-def test_a_registry_that_was_reached_is_left_to_the_backoff_of_the_controller(driver, end, is_redialed):
+def test_a_registry_that_was_reached_is_left_to_the_backoff_of_the_controller(
+    driver, end, seconds, is_redialed
+):
     """Guards against calls at the short interval to a registry that is overloaded or restarts."""
-    open_silent_watch(driver).close(end)
+    watch = open_silent_watch(driver)
+    driver.now += seconds * SECOND
+    watch.close(end)
     assert driver.events == [WatchFailed()] and (driver.redial_delays_us[-1] is not None) == is_redialed
 
 
--- a/tests/process/test_registry_cuts.py
+++ b/tests/process/test_registry_cuts.py
@@ -12,6 +12,7 @@
 from server_doubles import CONFIGURATION, ManualLoopWithFuture
 
 from ravenshelf.net.accepted import AcceptedConnection
+from ravenshelf.net.connection_end import ConnectionEnd
 from ravenshelf.process.control_plane import ControlPlaneServer
 from ravenshelf.process.registry_client import CALL_TIMEOUT_US, REDIAL_INTERVAL_US
 from ravenshelf.time_units import SECOND
@@ -142,8 +143,10 @@
             elif is_connected and call not in self.dead_calls:
                 if self.elapsed() - self.last_line_at[call] >= KEEPALIVE_S:
                     self.send(call, chunk(b"\n"))
-            elif is_connected and self.resets and self.elapsed() >= self.cut[1]:
+            elif self.resets and self.elapsed() >= self.cut[1] and is_connected:
                 call.connection_lost(ConnectionResetError())
+            elif self.resets and self.elapsed() >= self.cut[1]:
+                call.close(ConnectionEnd.REFUSED)  # a reset that answers the dial
 
     def run_until(self, second):
         while self.elapsed() < second:
