Messages of a proxy's only stream cost no more than before

Change: times of messages are recorded only while a proxy has several streams; the budget is told only of a changed length.

--- a/ravenshelf/net/accepted.py
+++ b/ravenshelf/net/accepted.py
@@ -55,6 +55,7 @@
 
     Attributes:
         partial_line: Received bytes of a line that is not complete yet.
+        counted_bytes: Length of the incomplete line as recorded in the owner's receive budget.
         slot: Slot that the owner assigned to the connection, or None.
         purpose: STREAM, COLLECTOR or UNIDENTIFIED.
         proxy: Index of the proxy, if the connection is a stream.
@@ -67,7 +68,9 @@
         has_sent_message: Whether the peer has sent a message since the acceptor's last idle sweep.
         connected_at: Time at which the connection was accepted, in microseconds.
         number: Number of the connection among all accepted ones, in the order in which they connected.
-        last_message_at: Time at which the last message was received, in microseconds.
+        is_only_stream: Whether the proxy has no other open stream that has joined.
+        last_message_at: Time at which the last message was received, in microseconds; recorded only while
+            `is_only_stream` is not set.
         join_event: Event of the stream's last join, or None before it has joined.
         message_times: Times at which the last messages were written to this stream, in microseconds.
     """
@@ -76,6 +79,7 @@
         super().__init__(buffers)
         self.owner = owner
         self.partial_line = bytearray()
+        self.counted_bytes = 0
         self.slot: int | None = None
         self.purpose = UNIDENTIFIED
         self.proxy: int | None = None
@@ -87,6 +91,7 @@
         self.has_sent_message = True
         self.connected_at = 0
         self.number = 0
+        self.is_only_stream = True
         self.last_message_at = 0
         self.join_event: ProxyJoined | None = None
         self.message_times: deque[int] = deque(maxlen=MESSAGE_TIMES_LIMIT)
@@ -134,7 +139,9 @@
         if not may_begin_message(self.partial_line):
             self.close(ConnectionEnd.UNREADABLE)
             return
-        self.owner.receive_budget.record(self, len(self.partial_line))
+        if len(self.partial_line) != self.counted_bytes:
+            self.counted_bytes = len(self.partial_line)
+            self.owner.receive_budget.record(self, self.counted_bytes)
 
     def _end_if_too_long(self, size: int) -> bool:
         """Close the connection if a line of this size is too long; return whether it has ended."""
--- a/ravenshelf/process/acceptor.py
+++ b/ravenshelf/process/acceptor.py
@@ -263,7 +263,8 @@
                 connection.write(stream_codec.PONG)
             else:
                 self.handlers[kind](connection, stream_codec.parse_fields(words))
-            connection.last_message_at = self.clock()
+            if not connection.is_only_stream:
+                connection.last_message_at = self.clock()
             self.counters[f"received_{kind.lower()}"] += 1
         except MalformedMessageError as error:
             logged_line = repr(line[:LOGGED_LINE_BYTES])
@@ -292,7 +293,7 @@
         connection.proxy = proxy
         connection.join_event = join_event
         connection.has_term_check = stream_codec.has_term_check(fields)
-        is_newest = self.proxy_streams.add(proxy, connection)
+        is_newest = self.proxy_streams.add(proxy, connection, self.clock())
         if is_first_join:
             self._set_purpose(connection, STREAM)
         if is_first_join and not is_newest and previous_stream is not None:
--- a/ravenshelf/process/proxy_streams.py
+++ b/ravenshelf/process/proxy_streams.py
@@ -23,7 +23,7 @@
         # All open streams that have joined, by proxy, in the order in which they connected.
         self._joined_streams: dict[int, list[AcceptedConnection]] = {}
 
-    def add(self, proxy: int, stream: AcceptedConnection) -> bool:
+    def add(self, proxy: int, stream: AcceptedConnection, now: int) -> bool:
         """Add a stream that has joined, and return whether it is the newest one of its proxy.
 
         The newest is the one that connected last: an earlier connection may have broken before what the proxy
@@ -33,8 +33,18 @@
         if stream not in streams:
             streams.append(stream)
             streams.sort(key=lambda joined_stream: joined_stream.number)
+        if len(streams) > 1:
+            for joined_stream in streams:
+                self._record_messages_of(joined_stream, now)
         return streams[-1] is stream
 
+    @staticmethod
+    def _record_messages_of(stream: AcceptedConnection, now: int) -> None:
+        """Record from now on when a stream's messages arrive, because the proxy has another one."""
+        if stream.is_only_stream:
+            stream.is_only_stream = False
+            stream.last_message_at = now
+
     def remove(self, proxy: int, stream: AcceptedConnection) -> AcceptedConnection | None:
         """Remove a stream that has ended, and return the newest remaining one of its proxy, or None."""
         streams = self._joined_streams.get(proxy, [])
@@ -43,6 +53,7 @@
         if self.current.get(proxy) is stream:
             del self.current[proxy]
         if streams:
+            streams[-1].is_only_stream = len(streams) == 1
             return streams[-1]
         self._joined_streams.pop(proxy, None)
         return None
