Silent connections of a cut no longer take all descriptors for calls

With 64, the least that is permitted, four calls may be open, and each connection of a cut holds one for 5 s.

Cause: an attempt without a slot ended, and the silent ones kept theirs.

Change: an attempt that finds no slot closes the oldest one, so the next has it.

--- a/ravenshelf/process/registry_client.py
+++ b/ravenshelf/process/registry_client.py
@@ -331,6 +331,8 @@
         assert end is not None
         if self.watches.current is not None:  # Another attempt may still answer.
             self._record_failure(WATCH, end, call)
+            if end is ConnectionEnd.NO_CAPACITY:  # The next attempt needs a slot.
+                self.watches.close_oldest_attempt()
             return
         if end in ENDS_OF_REACHED_REGISTRY or (end is ConnectionEnd.REFUSED and self._is_new(state)):
             self.schedule_redial(None)
--- a/ravenshelf/process/watch_set.py
+++ b/ravenshelf/process/watch_set.py
@@ -131,6 +131,11 @@
         if current is not None:
             current.close(ConnectionEnd.SUPERSEDED)
 
+    def close_oldest_attempt(self) -> None:
+        """Close the attempt that has waited longest, if another one was opened after it."""
+        if self.earlier_attempts:
+            self.earlier_attempts.pop(0).close(ConnectionEnd.SUPERSEDED)
+
     def close_former(self) -> None:
         """Close the former watch."""
         former = self.former
--- a/tests/process/test_registry_client.py
+++ b/tests/process/test_registry_client.py
@@ -359,6 +359,16 @@
     assert driver.events == [WatchFailed()] and driver.counters["discovery_reset"] == 1
 
 
+def test_an_attempt_without_a_slot_takes_that_of_the_oldest_one(driver):
+    """Guards against dead connections of a cut that take all slots for calls."""
+    open_silent_watch(driver)
+    for _ in range(3):
+        redial(driver)
+    driver.calls[3].close(ConnectionEnd.NO_CAPACITY)
+    assert [call.end for call in driver.calls[:3]] == [ConnectionEnd.SUPERSEDED, None, None]
+    assert driver.events == [] and driver.registry_client.watches.current is driver.calls[2]
+
+
 @pytest.mark.parametrize(
     "end, seconds, is_redialed",
     [
--- a/tests/process/test_registry_cuts.py
+++ b/tests/process/test_registry_cuts.py
@@ -13,6 +13,7 @@
 
 from ravenshelf.net.accepted import AcceptedConnection
 from ravenshelf.net.connection_end import ConnectionEnd
+from ravenshelf.process.configuration import MINIMUM_SOCKETS
 from ravenshelf.process.control_plane import ControlPlaneServer
 from ravenshelf.process.registry_client import CALL_TIMEOUT_US, REDIAL_INTERVAL_US
 from ravenshelf.time_units import SECOND
@@ -41,14 +42,16 @@
         comes_up: Whether connections made during the cut come up, and are silent then.
         resets: Whether connections of the cut are reset at its end.
         answers_late: Whether the first line comes with the first keepalive if nothing has changed.
+        sockets: The descriptors that the process may use, of which a sixteenth are for calls.
     """
 
-    def __init__(self, cut, comes_up=True, resets=False, answers_late=False):
+    def __init__(self, cut, comes_up=True, resets=False, answers_late=False, sockets=1024):
         self.cut, self.comes_up, self.resets, self.answers_late = cut, comes_up, resets, answers_late
         self.loop = ManualLoopWithFuture()
         self.started_at = self.loop.now
         self.version, self.state = 4, "SERVING"
-        self.server = ControlPlaneServer(CONFIGURATION, self.loop, lambda: self.loop.now)
+        configuration = CONFIGURATION | {"limits": {"sockets": sockets}}
+        self.server = ControlPlaneServer(configuration, self.loop, lambda: self.loop.now)
         self.open_call = self.server.outgoing_calls.open
         self.server.registry_client.calls = self
         self.extend = self.server.outgoing_calls.extend
@@ -191,6 +194,14 @@
     assert network.most_calls <= CALL_TIMEOUT_US // REDIAL_INTERVAL_US + 4
 
 
+@pytest.mark.parametrize("seed", range(40))
+def test_a_drain_is_learnt_in_time_with_few_descriptors(seed):
+    """Guards against silent connections of a cut that take all descriptors for calls."""
+    random_source = Random(seed)
+    cut, changes_at = cut_and_change(random_source, 6 + random_source.uniform(0, KEEPALIVE_S))
+    assert play(CutNetwork(cut, sockets=MINIMUM_SOCKETS), changes_at) <= WITHDRAWN_WITHIN_S
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_a_drain_is_learnt_in_time_if_the_first_connection_never_answers(seed):
     """Guards against a server that starts during a cut and waits for its first connection."""
