--- a/ravenshelf/net/stream_codec.py
+++ b/ravenshelf/net/stream_codec.py
@@ -23,7 +23,7 @@
 
 LINE_LIMIT_BYTES = 1024 * 1024  # maximum length of a message
 # Maximum number of fields of a message, and of values of a load report. A message of the longest permitted
-# length can hold hundreds of thousands of short ones, whose texts take fifty times its memory.
+# length can hold hundreds of thousands of short ones, whose texts take many times its memory.
 FIELDS_LIMIT = 256
 LOAD_VALUES_LIMIT = 64
 UPDATES_LIMIT = 64  # maximum number of table updates in a message
--- a/tests/net/test_stream_codec.py
+++ b/tests/net/test_stream_codec.py
@@ -74,7 +74,7 @@
     "count, is_valid", [(FIELDS_LIMIT, True), (FIELDS_LIMIT + 1, False), (100_000, False)]
 )
 def test_a_message_of_very_many_fields_is_rejected_before_it_is_split(count, is_valid):
-    """Guards against a line whose hundreds of thousands of short fields take fifty times its memory."""
+    """Guards against a line whose hundreds of thousands of short fields take many times its memory."""
     line = b"RATE " + b" ".join(b"n%d=1" % number for number in range(count))
     kind, words = split_line(line)
     assert kind == RATE and len(words) <= FIELDS_LIMIT + 1
